Dispatch: routing, placement, load budget, admission, retries, quarantine

Ruled out: late binding over a queue shared by all replicas of an owner (an owner has one or two replicas; routing has chosen already); time slots for the fallback of the load budget (needs clocks that agree). Change: dispatch.Dispatcher as Step(now, event) effects, budget.Holder and fixed shares, routing.Directory with rendezvous homes in buckets, services, quarantine, retry budget and backoff. Naive plugs in by function fields. A fake engine and weight store in virtual time drive nine workloads at both sizes.

--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 	./bin/demo
 
 measure:
-	$(GO) run ./cmd/measure
+	$(GO) test -count=1 -run TestMeasure ./core/coordination/dispatch -args -tables
 
 measure-control: build
 	./bin/measure-control
--- /dev/null
+++ b/core/coordination/dispatch/budget/budget_test.go
@@ -0,0 +1,148 @@
+package budget_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"papayaspoke/core/coordination/dispatch/budget"
+	"papayaspoke/core/ident"
+	"pgregory.net/rapid"
+)
+
+var (
+	epoch  = time.Date(2026, 1, 15, 18, 0, 0, 0, time.UTC)
+	limits = budget.Limits{PerSecond: 3, InTransit: 8}
+	owners = []ident.Daemon{"a", "b", "c", "d"}
+)
+
+func want(adapter string, saves float64, slack time.Duration) budget.Want {
+	return budget.Want{
+		Upstream: ident.Upstream("gpu-" + adapter), Adapter: ident.Adapter{Name: adapter, Version: "1"},
+		Saves: saves, Deadline: epoch.Add(time.Minute + slack),
+	}
+}
+
+// heardHolder returns a holder that has heard from all owners, and the time.
+func heardHolder(owners []ident.Daemon, l budget.Limits) (*budget.Holder, time.Time) {
+	h := budget.NewHolder(epoch, l, owners, 0)
+	now := epoch.Add(2 * time.Second)
+	for _, o := range owners {
+		h.Ask(now, budget.Ask{Owner: o})
+	}
+	return h, now
+}
+
+func TestGrantsInOrderOfSaving(t *testing.T) {
+	h, now := heardHolder(owners, limits)
+	ps := h.Ask(now, budget.Ask{Owner: "a", Wants: []budget.Want{
+		want("late", 1, 9*time.Second), want("soon", 1, time.Second), want("many", 5, 20*time.Second), want("gone", 9, -time.Hour),
+	}})
+	var got []string
+	for _, p := range ps {
+		got = append(got, p.Adapter.Name)
+	}
+	assert.DeepEqual(t, got, []string{"many", "soon", "late"})
+}
+
+func TestHolder(t *testing.T) {
+	cases := map[string]struct {
+		// act returns the number of permits granted.
+		act  func() int
+		want int
+	}{
+		"a new holder waits for all owners": {func() int {
+			h := budget.NewHolder(epoch, limits, owners, 0)
+			return len(h.Ask(epoch.Add(2*time.Second), budget.Ask{Owner: "d", Wants: []budget.Want{want("x", 1, 0)}}))
+		}, 0},
+		"an unheard owner keeps its share": {func() int {
+			h := budget.NewHolder(epoch, limits, owners, 0)
+			now := epoch.Add(budget.Lifetime)
+			return len(h.Ask(now, budget.Ask{Owner: "d", Wants: []budget.Want{want("x", 1, 0), want("y", 1, 0)}}))
+		}, 0},
+		"an owner in fallback keeps its share": {func() int {
+			h, now := heardHolder(owners, limits)
+			h.Ask(now, budget.Ask{Owner: "a", Fallback: true})
+			return len(h.Ask(now, budget.Ask{Owner: "b", Wants: []budget.Want{want("x", 1, 0), want("y", 1, 0), want("z", 1, 0)}}))
+		}, 2},
+		"loads that an earlier holder permitted count": {func() int {
+			h, now := heardHolder(owners, budget.Limits{PerSecond: 9, InTransit: 2})
+			h.Ask(now, budget.Ask{Owner: "a", Loading: 1})
+			return len(h.Ask(now, budget.Ask{Owner: "b", Wants: []budget.Want{want("x", 1, 0), want("y", 1, 0)}}))
+		}, 1},
+		"a lost owner gets nothing": {func() int {
+			h, now := heardHolder(owners, limits)
+			h.SetOwners(owners[:3])
+			return len(h.Ask(now, budget.Ask{Owner: "d", Wants: []budget.Want{want("x", 1, 0)}}))
+		}, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, c.act(), c.want) })
+	}
+}
+
+func TestSharesAddUpToNoMoreThanTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := budget.Limits{PerSecond: rapid.IntRange(1, 9).Draw(t, "rate"), InTransit: rapid.IntRange(1, 9).Draw(t, "transit")}
+		var names []ident.Daemon
+		for i := range rapid.IntRange(1, 20).Draw(t, "owners") {
+			names = append(names, ident.Daemon(string(rune('a'+i))))
+		}
+		var rate, transit int
+		for _, n := range names {
+			s := budget.ShareOf(n, names, l)
+			rate += s.PerSecond
+			transit += s.InTransit
+		}
+		assert.Assert(t, rate >= 1 && rate <= l.PerSecond && transit <= l.InTransit)
+	})
+}
+
+// TestLimitsHold lets owners ask, return permits or lose them at random and
+// checks both limits at every start, whatever the delay of a permit.
+func TestLimitsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h, now := heardHolder(owners, limits)
+		open := map[budget.PermitID]time.Time{}
+		var starts []time.Time
+		for i := range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			for id, until := range open {
+				if !now.Before(until) {
+					delete(open, id)
+				}
+			}
+			o := owners[rapid.IntRange(0, 3).Draw(t, "owner")]
+			var ps []budget.Permit
+			if len(open) > 0 && rapid.Bool().Draw(t, "done") {
+				first := budget.PermitID(0)
+				for id := range open {
+					if first == 0 || id < first {
+						first = id
+					}
+				}
+				delete(open, first)
+				ps = h.Done(now, first)
+			} else {
+				w := want(string(rune('a'+i%20)), float64(i%5), 0)
+				w.Deadline = now.Add(time.Second)
+				ps = h.Ask(now, budget.Ask{Owner: o, Wants: []budget.Want{w, w}})
+			}
+			for _, p := range ps {
+				open[p.ID] = now.Add(budget.Lifetime)
+				late := time.Duration(rapid.Int64Range(0, int64(budget.StartWithin)-1).Draw(t, "late"))
+				starts = append(starts, now.Add(late))
+			}
+			assert.Assert(t, len(open) <= limits.InTransit)
+		}
+		for _, s := range starts {
+			var n int
+			for _, x := range starts {
+				if !x.Before(s) && x.Sub(s) < time.Second {
+					n++
+				}
+			}
+			assert.Assert(t, n <= limits.PerSecond, "%d starts in a second", n)
+		}
+	})
+}
--- /dev/null
+++ b/core/coordination/dispatch/world_test.go
@@ -0,0 +1,448 @@
+package dispatch_test
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"papayaspoke/core/coordination/dispatch"
+	"papayaspoke/core/coordination/dispatch/budget"
+	"papayaspoke/core/coordination/dispatch/routing"
+	"papayaspoke/core/ident"
+	"papayaspoke/core/option"
+	"papayaspoke/core/result"
+)
+
+const (
+	hop      = 4 * time.Millisecond // one way between daemons
+	wire     = time.Millisecond     // one way between a daemon and a replica
+	model    = ident.Model("base")
+	restarts = 5 * time.Second // from a crash to the new incarnation
+)
+
+var epoch = time.Date(2026, 1, 15, 18, 0, 0, 0, time.UTC)
+
+// size is one of the users.
+type size struct {
+	name     string
+	centres  int
+	daemons  int
+	replicas int
+	slots    int
+	batch    int
+	limits   budget.Limits
+	// quiet and flood are in requests a second.
+	quiet, flood float64
+}
+
+var sizes = []size{
+	{"Mattress Care", 3, 10, 12, 6, 16, budget.Limits{PerSecond: 3, InTransit: 8}, 3, 40},
+	{"Veilig Zitje", 4, 11, 18, 6, 16, budget.Limits{PerSecond: 4, InTransit: 8}, 5, 60},
+}
+
+// rules are the policies of one run.
+type rules struct {
+	name     string
+	dispatch dispatch.Policy
+	routing  routing.Policy
+}
+
+// call is one request of the workload.
+type call struct {
+	req     dispatch.Request
+	run     time.Duration
+	poison  bool
+	entry   *daemon
+	owner   *daemon
+	exclude []ident.Upstream
+	loaded  time.Time
+	suspect bool
+	started bool // a byte of it reached an engine
+	arrived bool // at its owner
+	ended   bool
+	how     ending
+}
+
+type item struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type agenda []item
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	if c := a[i].at.Compare(a[j].at); c != 0 {
+		return c < 0
+	}
+	return a[i].seq < a[j].seq
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(item)) }
+func (a *agenda) Pop() any {
+	x := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return x
+}
+
+type daemon struct {
+	name   ident.Daemon
+	centre ident.DataCentre
+	d      *dispatch.Dispatcher
+	dir    *routing.Directory
+	lost   bool
+	// answered is when the holder of the budget last answered.
+	answered time.Time
+	fallback bool
+}
+
+// world runs daemons, fake engines and a fake weight store in virtual time.
+type world struct {
+	now     time.Time
+	agenda  agenda
+	seq     int
+	rng     *rand.Rand
+	size    size
+	rules   rules
+	daemons []*daemon
+	engines []*engine
+	store   store
+	holder  *budget.Holder
+	calls   map[ident.Request]*call
+	stats   *stats
+	// reportLag, recordLag and gaps model late knowledge.
+	reportLag, recordLag time.Duration
+	gaps                 float64
+	loadFailures         float64
+	// faults lists broken invariants.
+	faults []string
+}
+
+func newWorld(s size, r rules, seed uint64) *world {
+	w := &world{
+		now: epoch, rng: rand.New(rand.NewPCG(seed, 7)), size: s, rules: r,
+		calls: make(map[ident.Request]*call), stats: newStats(),
+	}
+	w.store = store{w: w}
+	var names []ident.Daemon
+	for i := range s.daemons {
+		dm := &daemon{
+			name: ident.Daemon("vm" + letter(i)), centre: centre(i % s.centres),
+			dir: routing.NewDirectory(r.routing), answered: epoch,
+		}
+		dm.d = dispatch.New(dm.name, r.dispatch)
+		w.daemons = append(w.daemons, dm)
+		names = append(names, dm.name)
+	}
+	w.holder = budget.NewHolder(epoch, s.limits, names, 0)
+	for i := range s.replicas {
+		w.addEngine(i)
+	}
+	w.every(50*time.Millisecond, w.tick)
+	w.every(200*time.Millisecond, w.gossip)
+	w.every(500*time.Millisecond, w.report)
+	return w
+}
+
+func letter(i int) string { return string(rune('a' + i)) }
+
+func centre(i int) ident.DataCentre { return ident.DataCentre("dc" + letter(i)) }
+
+func (w *world) addEngine(i int) {
+	c := centre(i % w.size.centres)
+	var local []*daemon
+	for _, dm := range w.daemons {
+		if dm.centre == c {
+			local = append(local, dm)
+		}
+	}
+	e := &engine{
+		w: w, name: ident.Upstream("gpu" + letter(i)), incarnation: 1, centre: c,
+		owner: local[i/w.size.centres%len(local)], loads: make(map[ident.Adapter]*copyOf),
+		running: make(map[ident.Request]*attempt), since: epoch,
+	}
+	w.engines = append(w.engines, e)
+	w.after(0, func() {
+		w.step(e.owner, dispatch.Acquired{
+			Upstream: e.name, Incarnation: e.incarnation, Model: model, DataCentre: c,
+			Slots: w.size.slots, MaxBatch: w.size.batch, Fence: 1,
+		})
+	})
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.agenda, item{w.now.Add(d), w.seq, do})
+}
+
+func (w *world) every(d time.Duration, do func()) {
+	w.after(d, func() { do(); w.every(d, do) })
+}
+
+func (w *world) runUntil(t time.Time) {
+	for w.agenda[0].at.Before(t) {
+		it := heap.Pop(&w.agenda).(item)
+		w.now = it.at
+		it.do()
+	}
+	w.now = t
+}
+
+func (w *world) tick() {
+	for _, dm := range w.daemons {
+		if dm.lost {
+			continue
+		}
+		w.step(dm, dispatch.Tick{})
+		if lost := w.now.Sub(dm.answered) > budget.FallbackAfter; lost && !dm.fallback {
+			dm.fallback = true
+			w.step(dm, dispatch.BudgetLost{Share: budget.ShareOf(dm.name, w.names(), w.size.limits)})
+		}
+	}
+	if w.holder != nil {
+		w.send(w.holder.Tick(w.now))
+	}
+}
+
+func (w *world) names() []ident.Daemon {
+	var out []ident.Daemon
+	for _, dm := range w.daemons {
+		out = append(out, dm.name)
+	}
+	return out
+}
+
+func (w *world) gossip() {
+	for _, dm := range w.daemons {
+		w.announce(dm)
+	}
+}
+
+// announce spreads the records of a daemon to all others.
+func (w *world) announce(dm *daemon) {
+	if dm.lost {
+		return
+	}
+	records := dm.d.Records(w.now)
+	put := func(to *daemon) {
+		for _, r := range records {
+			to.dir.Put(r)
+		}
+	}
+	put(dm)
+	w.after(hop+w.recordLag, func() {
+		for _, to := range w.daemons {
+			if to != dm {
+				put(to)
+			}
+		}
+	})
+}
+
+func (w *world) report() {
+	for _, e := range w.engines {
+		if e.down || w.rng.Float64() < w.gaps {
+			continue
+		}
+		r := e.report()
+		w.after(wire+w.reportLag, func() { w.step(e.owner, r) })
+	}
+}
+
+func (w *world) step(dm *daemon, ev dispatch.Event) {
+	if dm.lost {
+		return
+	}
+	for _, ef := range dm.d.Step(w.now, ev) {
+		w.do(dm, ef)
+	}
+}
+
+func (w *world) do(dm *daemon, ef dispatch.Effect) {
+	switch ef := ef.(type) {
+	case dispatch.Load:
+		w.after(wire, func() { w.engine(ef.Upstream).load(ef) })
+	case dispatch.Send:
+		w.after(wire, func() { w.engine(ef.Upstream).start(w.calls[ef.Request], ef) })
+	case dispatch.Refuse:
+		w.refused(dm, ef)
+	case dispatch.Fail:
+		w.failed(dm, ef)
+	case dispatch.AskPermits:
+		w.after(hop, func() { w.ask(dm, ef.Ask) })
+	case dispatch.ReleasePermit:
+		w.after(hop, func() {
+			if w.holder != nil {
+				w.send(w.holder.Done(w.now, ef.Permit))
+			}
+		})
+	case dispatch.Quarantine:
+		w.after(hop, func() {
+			for _, to := range w.daemons {
+				if to != dm {
+					w.step(to, dispatch.Quarantines{Entries: []quarantineEntry{ef.Entry}})
+				}
+			}
+		})
+	case dispatch.Announce:
+		w.announce(dm)
+	}
+}
+
+func (w *world) ask(dm *daemon, a budget.Ask) {
+	if w.holder == nil {
+		return
+	}
+	w.after(hop, func() {
+		dm.answered = w.now
+		if dm.fallback {
+			dm.fallback = false
+			w.step(dm, dispatch.BudgetFound{})
+		}
+	})
+	w.send(w.holder.Ask(w.now, a))
+}
+
+func (w *world) send(ps []budget.Permit) {
+	for _, p := range ps {
+		i := slices.IndexFunc(w.daemons, func(dm *daemon) bool { return dm.name == p.Owner })
+		w.after(hop, func() { w.step(w.daemons[i], dispatch.Granted{Permits: []budget.Permit{p}}) })
+	}
+}
+
+func (w *world) engine(name ident.Upstream) *engine {
+	i := slices.IndexFunc(w.engines, func(e *engine) bool { return e.name == name })
+	return w.engines[i]
+}
+
+// arrive lets a call reach a random daemon, which routes it.
+func (w *world) arrive(c *call) {
+	w.calls[c.req.ID] = c
+	c.entry = w.daemons[w.rng.IntN(len(w.daemons))]
+	for c.entry.lost {
+		c.entry = w.daemons[w.rng.IntN(len(w.daemons))]
+	}
+	w.route(c)
+}
+
+func (w *world) route(c *call) {
+	if c.ended || c.entry.lost {
+		return
+	}
+	q := routing.Query{Model: model, Adapter: c.req.Adapter, DataCentre: c.entry.centre, Exclude: c.exclude, Suspect: c.suspect}
+	choice, ok := c.entry.dir.Route(q)
+	if !ok {
+		w.end(c, refusedEnd)
+		return
+	}
+	c.entry.dir.Sent(choice.Upstream, c.req.Adapter)
+	c.req.Upstream = choice.Upstream
+	c.owner, c.arrived = w.engine(choice.Upstream).owner, false
+	w.after(hop, func() {
+		if c.owner.lost {
+			w.after(2*time.Second, func() { w.reroute(c) })
+			return
+		}
+		c.arrived = true
+		w.step(c.owner, dispatch.Arrived{Request: c.req})
+	})
+}
+
+func (w *world) reroute(c *call) {
+	c.exclude = append(c.exclude, c.req.Upstream)
+	c.arrived = false
+	w.after(hop, func() { w.route(c) })
+}
+
+func (w *world) refused(dm *daemon, ef dispatch.Refuse) {
+	c := w.calls[ef.Request]
+	if c.started {
+		w.fault("told not run, but it was sent: " + string(c.req.ID))
+	}
+	if c.entry.lost {
+		return
+	}
+	if code := ef.Err.Code(); (code == result.NoUpstream || code == result.Draining) && len(c.exclude) < 3 {
+		w.reroute(c)
+		return
+	}
+	c.noteWait(w, strings.Contains(ef.Err.Detail(), "did not arrive"))
+	w.end(c, refusedEnd)
+}
+
+func (w *world) failed(_ *daemon, ef dispatch.Fail) {
+	c := w.calls[ef.Request]
+	if c.entry.lost {
+		return
+	}
+	if ef.Retry && !c.req.Retried {
+		c.req.Retried, c.suspect = true, true
+		w.reroute(c)
+		return
+	}
+	w.end(c, failedEnd)
+}
+
+func (w *world) end(c *call, how ending) {
+	if c.ended {
+		w.fault(fmt.Sprintf("ended twice: %s, first %v, then %v", c.req.ID, c.how, how))
+	}
+	c.ended, c.how = true, how
+	w.stats.end(w, c, how)
+}
+
+func (w *world) fault(s string) { w.faults = append(w.faults, s) }
+
+// loseCentre takes away a data centre with its daemons and replicas.
+func (w *world) loseCentre(c ident.DataCentre) {
+	for _, dm := range w.daemons {
+		dm.lost = dm.lost || dm.centre == c
+	}
+	w.holder = nil
+	for _, e := range w.engines {
+		if e.centre == c {
+			e.crash(false)
+			w.after(2*time.Second, func() {
+				for _, dm := range w.daemons {
+					dm.dir.Remove(e.name)
+				}
+			})
+		}
+	}
+	w.after(2*time.Second, func() { w.holder = budget.NewHolder(w.now, w.size.limits, w.names(), 1<<32) })
+	w.loseCalls()
+}
+
+// loseCalls ends the calls that entered at a lost daemon; those that were
+// forwarded to one are sent anew when their entry notices.
+func (w *world) loseCalls() {
+	for _, c := range w.sortedCalls() {
+		switch {
+		case c.ended:
+		case c.entry.lost:
+			c.ended = true
+			w.stats.lost++
+		case c.arrived && c.owner.lost:
+			w.after(2*time.Second, func() {
+				c.req.Retried = true
+				w.reroute(c)
+			})
+		}
+	}
+}
+
+func (w *world) sortedCalls() []*call {
+	var out []*call
+	for _, c := range w.calls {
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(a, b *call) int { return cmp.Compare(a.req.ID, b.req.ID) })
+	return out
+}
+
+var some = option.Some[bool]
