--- a/core/coordination/dispatch/measure_test.go
+++ b/core/coordination/dispatch/measure_test.go
@@ -16,6 +16,7 @@
 var (
 	policy = rules{"policy", dispatch.Default(), routing.Default()}
 	naive  = rules{"naive", dispatch.Naive(), routing.Naive()}
+	causes = flag.Bool("causes", false, "print why requests were refused with the tables")
 	tables = flag.Bool("tables", false, "print the tables of TestMeasure")
 )
 
@@ -60,6 +61,9 @@
 			for _, r := range []rules{policy, naive} {
 				w := measure()[cell{s.name, name, r.name}]
 				w.stats.row(&b, name, r.name)
+				if *causes && r.name == "policy" {
+					fmt.Fprintf(&b, "   %v popular %.4f\n", w.stats.causes, w.stats.popularHits())
+				}
 				assert.Check(t, len(w.faults) == 0, "%s %s %s: %d faults, the first %q", s.name, name, r.name, len(w.faults), append(w.faults, "")[0])
 			}
 		}
--- a/core/coordination/dispatch/stats_test.go
+++ b/core/coordination/dispatch/stats_test.go
@@ -1,10 +1,13 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"papayaspoke/core/ident"
+	"papayaspoke/core/result"
 )
 
 type ending int
@@ -28,10 +31,26 @@
 	starts                 []time.Time
 	perSecond              int
 	refused, failed, lost  int
-	crashes                int
+	// popular counts the calls for the most popular adapters, and held those
+	// of them that found the adapter resident.
+	popular, held int
+	// causes counts refusals and failures by class and code, for the log.
+	causes  map[string]int
+	crashes int
 }
 
-func newStats() *stats { return &stats{classes: make(map[ident.Class]*tally)} }
+func newStats() *stats {
+	return &stats{classes: make(map[ident.Class]*tally), causes: make(map[string]int)}
+}
+
+// popular are the twenty most popular adapters.
+var popular = func() map[ident.Adapter]bool {
+	out := make(map[ident.Adapter]bool)
+	for i := range 20 {
+		out[adapter(i)] = true
+	}
+	return out
+}()
 
 func (s *stats) batch(n, most int, d time.Duration) {
 	s.busy += time.Duration(n) * d
@@ -66,7 +85,14 @@
 	if c.req.Arrived.Before(w.stats.from) {
 		return
 	}
-	w.stats.stalls = append(w.stats.stalls, max(0, at.Sub(c.req.Arrived)))
+	stall := max(0, at.Sub(c.req.Arrived))
+	w.stats.stalls = append(w.stats.stalls, stall)
+	if popular[c.req.Adapter] {
+		w.stats.popular++
+		if stall == 0 {
+			w.stats.held++
+		}
+	}
 }
 
 // noteWait counts a refused call whose adapter did not come as stalled for
@@ -98,6 +124,8 @@
 	}
 }
 
+func (s *stats) popularHits() float64 { return float64(s.held) / float64(max(1, s.popular)) }
+
 func (s *stats) within(c ident.Class) float64 {
 	t := s.classes[c]
 	if t == nil || t.total == 0 {
@@ -113,3 +141,14 @@
 	slices.Sort(s.stalls)
 	return s.stalls[min(len(s.stalls)-1, int(q*float64(len(s.stalls))))]
 }
+
+func cause(err *result.Error) string {
+	words := strings.Fields(err.Detail())
+	return fmt.Sprint(int(err.Code()), " ", strings.Join(words[len(words)-2:], " "))
+}
+
+func (s *stats) cause(c *call, why string) {
+	if !c.req.Arrived.Before(s.from) && !c.poison {
+		s.causes[string(c.req.Class)+" "+why]++
+	}
+}
--- a/core/coordination/dispatch/world_test.go
+++ b/core/coordination/dispatch/world_test.go
@@ -337,6 +337,7 @@
 	q := routing.Query{Model: model, Adapter: c.req.Adapter, DataCentre: c.entry.centre, Exclude: c.exclude, Suspect: c.suspect}
 	choice, ok := c.entry.dir.Route(q)
 	if !ok {
+		w.stats.cause(c, "no route")
 		w.end(c, refusedEnd)
 		return
 	}
@@ -371,6 +372,7 @@
 		w.reroute(c)
 		return
 	}
+	w.stats.cause(c, cause(ef.Err))
 	c.noteWait(w, strings.Contains(ef.Err.Detail(), "did not arrive"))
 	w.end(c, refusedEnd)
 }
@@ -385,6 +387,7 @@
 		w.reroute(c)
 		return
 	}
+	w.stats.cause(c, cause(ef.Err))
 	w.end(c, failedEnd)
 }
 
