Routing: sixteen homes instead of four

Cause: five hot adapters at 18 replicas could not get more than four copies each; letters waited behind full batches. Change: sixteen homes for each bucket.

--- a/core/coordination/dispatch/routing/homes.go
+++ b/core/coordination/dispatch/routing/homes.go
@@ -14,7 +14,7 @@
 	// each replica is home to several buckets.
 	buckets = 1 << 14
 	// homes is the number of homes that are kept for a bucket, best first.
-	homes = 4
+	homes = 16
 )
 
 // pool holds the replicas of one model and the homes of its adapters.
