Dispatch: follow routing when no own replica can run the request at once

Cause: a request that routing sent to an empty replica for a further copy ended in the queue of the owner's other replica, which was full but held the adapter; a dump at 240 s showed 56 outstanding there and 1 beside it. Change: a replica that holds the adapter comes first only if it has room, else the routed one does.

--- a/core/coordination/dispatch/policy.go
+++ b/core/coordination/dispatch/policy.go
@@ -114,18 +114,26 @@
 	return best
 }
 
+// compareCandidates puts replicas that can run the request at once first, the
+// fullest of them before the others. Without any, it follows routing, which
+// has weighed a further copy against the wait.
 func compareCandidates(a, b Candidate) int {
-	if c := cmp.Or(compareTrue(a.Resident, b.Resident), compareTrue(a.room() > 0, b.room() > 0)); c != 0 {
+	now := func(c Candidate) bool { return c.Resident && c.room() > 0 }
+	if c := compareTrue(now(a), now(b)); c != 0 {
 		return c
 	}
-	if a.room() > 0 {
+	if now(a) {
 		return cmp.Or(
 			cmp.Compare(a.room(), b.room()),
 			compareTrue(a.Prefix, b.Prefix),
 			compareTrue(a.Routed, b.Routed),
 		)
 	}
-	return cmp.Or(cmp.Compare(b.room(), a.room()), compareTrue(a.Routed, b.Routed))
+	return cmp.Or(
+		compareTrue(a.Routed, b.Routed),
+		compareTrue(a.Resident, b.Resident),
+		cmp.Compare(b.room(), a.room()),
+	)
 }
 
 // compareTrue orders true before false.
