Routing: a quarter of a batch may queue before an adapter earns a copy

Cause: popular adapters on a replica that a flood had filled were loaded anew elsewhere, although a full batch of 16 frees a place every 0.2 s; 12 % of the requests for the twenty most popular adapters found them gone in the flood. Change: routing leaves a holder only when the queue is a quarter of its batch.

--- a/core/coordination/dispatch/routing/directory.go
+++ b/core/coordination/dispatch/routing/directory.go
@@ -53,6 +53,9 @@
 
 func (e *entry) room() int { return e.MaxBatch - e.outstanding() }
 
+// lack returns how many requests wait for room in the batch.
+func (e *entry) lack() int { return -e.room() }
+
 func (e *entry) open() bool { return !e.Closed && !e.Isolating }
 
 // Directory holds what is known of all engine replicas. It is not safe for
--- a/core/coordination/dispatch/routing/route.go
+++ b/core/coordination/dispatch/routing/route.go
@@ -7,6 +7,11 @@
 	"papayaspoke/core/ident"
 )
 
+// spread is the part of a batch that may wait at the holders of an adapter
+// before it earns a further copy. A short queue at a full batch moves on
+// sooner than a load is done, and costs no load.
+const spread = 4
+
 // Query asks for a replica for one request.
 type Query struct {
 	// Model and Adapter are those that the request must run on.
@@ -69,7 +74,7 @@
 		return pickLeast(d, q)
 	}
 	holder := bestHolder(d, q)
-	if holder != nil && holder.room() > 0 {
+	if holder != nil && holder.lack() < holder.MaxBatch/spread {
 		return holder
 	}
 	home := bestHome(d, q, holder == nil)
