Dispatch: a retried request that finds no replica is handed back again

Change: Fail.Retry is also true for an idempotent request that the owner could not place; the entry daemon bounds the tries.

--- a/core/coordination/dispatch/dispatcher.go
+++ b/core/coordination/dispatch/dispatcher.go
@@ -279,7 +279,8 @@
 		return
 	}
 	if r.ran {
-		d.emit(Fail{Request: r.ID, Err: ranError(r, err)})
+		again := r.Idempotent && err.Code() == result.NoUpstream
+		d.emit(Fail{Request: r.ID, Err: ranError(r, err), Retry: again})
 		return
 	}
 	d.emit(Refuse{Request: r.ID, Err: err})
--- a/core/coordination/dispatch/effect.go
+++ b/core/coordination/dispatch/effect.go
@@ -75,7 +75,7 @@
 	Err *result.Error
 	// Retry is true if the request is idempotent, nothing of an answer was
 	// delivered and the retry budget allows it to be sent to another owner,
-	// with Retried set.
+	// with Retried set. The daemon that took it in bounds how often.
 	Retry bool
 }
 
--- a/core/coordination/dispatch/world_test.go
+++ b/core/coordination/dispatch/world_test.go
@@ -382,7 +382,7 @@
 	if c.entry.lost {
 		return
 	}
-	if ef.Retry && !c.req.Retried {
+	if ef.Retry && len(c.exclude) < 3 {
 		c.req.Retried, c.suspect = true, true
 		w.reroute(c)
 		return
