Routing: load at the cheapest of the first three homes

Cause: home by hash alone puts more popular adapters on one replica than it has slots for while another evicts none. Change: among the first three homes that may load, the one whose next load evicts the least demand; loads that wait there count as well.

--- a/core/coordination/dispatch/routing/directory.go
+++ b/core/coordination/dispatch/routing/directory.go
@@ -56,6 +56,10 @@
 // lack returns how many requests wait for room in the batch.
 func (e *entry) lack() int { return -e.room() }
 
+// costToLoad returns the demand that a further load evicts; loads that wait
+// there already count as much as an adapter asked for once.
+func (e *entry) costToLoad() float64 { return e.Evict + float64(e.Cold+e.cold) }
+
 func (e *entry) open() bool { return !e.Closed && !e.Isolating }
 
 // Directory holds what is known of all engine replicas. It is not safe for
--- a/core/coordination/dispatch/routing/route.go
+++ b/core/coordination/dispatch/routing/route.go
@@ -12,6 +12,9 @@
 // sooner than a load is done, and costs no load.
 const spread = 4
 
+// choices is the number of homes that are compared for a load.
+const choices = 3
+
 // Query asks for a replica for one request.
 type Query struct {
 	// Model and Adapter are those that the request must run on.
@@ -121,29 +124,35 @@
 	return 1
 }
 
-// bestHome returns the first home that may load and does not hold the adapter
-// yet. If all homes are closed and must is true, any open replica will do.
+// bestHome returns the home, among the first that may load and have room,
+// where the load evicts what is least in demand. If all homes are closed and
+// must is true, any open replica will do.
 func bestHome(d *Directory, q Query, must bool) *entry {
 	p := d.pools[q.Model]
 	if p == nil {
 		return nil
 	}
-	var second *entry
+	var best, full *entry
+	var seen int
 	for _, e := range p.of(q.Adapter) {
 		if !q.takes(e) || d.holds(e, q.Adapter) {
 			continue
 		}
-		if e.Loads && e.room() > 0 {
-			return e
+		if !e.Loads || e.room() <= 0 {
+			full = cmp.Or(full, e)
+			continue
+		}
+		if best == nil || e.costToLoad() < best.costToLoad() {
+			best = e
 		}
-		if second == nil {
-			second = e
+		if seen++; seen == choices {
+			break
 		}
 	}
-	if second == nil && must {
+	if best == nil && full == nil && must {
 		return pickLeast(d, q)
 	}
-	return second
+	return cmp.Or(best, full)
 }
 
 // pickLeast returns the open replica with the fewest outstanding requests.
