Dispatch: every copy of a suspect body goes to the same owner

Ruled out: a lock on the digest through the log (a round of the voters for each suspect). Change: suspects are handed back and routed by their digest's homes, the one that is isolating first; routing.Query gains Digest, Dispatcher gains Verdict.

--- a/core/coordination/dispatch/dispatcher.go
+++ b/core/coordination/dispatch/dispatcher.go
@@ -202,6 +202,11 @@
 	return d.quarantine.Verdict(now, r.Digest)
 }
 
+// Verdict returns what is known of a body at now, for routing.
+func (d *Dispatcher) Verdict(now time.Time, body quarantine.Digest) quarantine.Verdict {
+	return d.quarantine.Verdict(now, body)
+}
+
 // place lets a request wait for one of the replicas, or ends it if there is
 // none.
 func (d *Dispatcher) place(now time.Time, r *request) {
@@ -218,6 +223,9 @@
 		d.refuse(r, err.WithRetryAfter(now.Add(max(e.Wait, time.Second))))
 		return
 	}
+	if r.alone && !p.isolates() {
+		d.emit(Announce{Upstream: p.name})
+	}
 	p.enqueue(r, d.policy.Compare)
 	d.countDemand(now, p, r)
 }
--- a/core/coordination/dispatch/finish.go
+++ b/core/coordination/dispatch/finish.go
@@ -105,7 +105,9 @@
 	d.place(now, r)
 }
 
-// crashed deals with a request that was in flight when its upstream died.
+// crashed deals with a request that was in flight when its upstream died. A
+// suspect is handed back, so that routing sends every copy of its body to the
+// same owner.
 func (d *Dispatcher) crashed(now time.Time, p *replica, r *request, delivered bool) {
 	e := d.suspect(now, r)
 	r.sent = time.Time{}
@@ -115,8 +117,9 @@
 		d.fail(r, result.New(result.Unknown, "upstream %s crashed", p.name), false)
 	case r.cancelled || delivered || e.Verdict == quarantine.Convicted || !d.retries.Take(r.Class):
 		d.fail(r, err, false)
+	case d.policy.Isolates:
+		d.fail(r, err, true)
 	default:
-		r.alone = d.policy.Isolates
 		d.retryElsewhere(now, r, err)
 	}
 }
--- a/core/coordination/dispatch/routing/homes.go
+++ b/core/coordination/dispatch/routing/homes.go
@@ -73,8 +73,9 @@
 
 // of returns the homes of an adapter, best first. The caller must not change
 // the slice.
-func (p *pool) of(a ident.Adapter) []*entry {
-	bucket := bucketOf(a)
+func (p *pool) of(a ident.Adapter) []*entry { return p.ofBucket(bucketOf(a)) }
+
+func (p *pool) ofBucket(bucket uint32) []*entry {
 	if hs, ok := p.homes[bucket]; ok {
 		return hs
 	}
--- a/core/coordination/dispatch/routing/route.go
+++ b/core/coordination/dispatch/routing/route.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 
+	"papayaspoke/core/coordination/dispatch/quarantine"
 	"papayaspoke/core/ident"
 )
 
@@ -22,8 +24,10 @@
 	Adapter ident.Adapter
 	// DataCentre is where the daemon that asks is.
 	DataCentre ident.DataCentre
-	// Suspect is true for a request that must run alone.
+	// Suspect is true for a request that must run alone; Digest is its body's
+	// and counts only then.
 	Suspect bool
+	Digest  quarantine.Digest
 	// Exclude are replicas that have turned the request away.
 	Exclude []ident.Upstream
 }
@@ -73,7 +77,10 @@
 // further copy at a home that is less busy; a copy that is no longer needed
 // gets no requests and is evicted in its time.
 func pick(d *Directory, q Query) *entry {
-	if q.Suspect || q.Adapter.IsZero() {
+	if q.Suspect {
+		return pickSuspect(d, q)
+	}
+	if q.Adapter.IsZero() {
 		return pickLeast(d, q)
 	}
 	holder := bestHolder(d, q)
@@ -155,6 +162,44 @@
 	return cmp.Or(best, full)
 }
 
+// pickSuspect returns a replica for a request that must run alone. The homes
+// of its digest are the same for all daemons, and one that is isolating
+// already goes before the others: so a body that is sent twice does not run at
+// two owners at the same time, and few replicas are kept from other work.
+func pickSuspect(d *Directory, q Query) *entry {
+	p := d.pools[q.Model]
+	if p == nil {
+		return nil
+	}
+	var best *entry
+	var seen int
+	for _, e := range p.ofBucket(binary.BigEndian.Uint32(q.Digest[:]) % buckets) {
+		if e.Closed || slices.Contains(q.Exclude, e.Upstream) {
+			continue
+		}
+		if best == nil || compareSuspect(e, best) < 0 {
+			best = e
+		}
+		if seen++; seen == choices {
+			break
+		}
+	}
+	if best == nil {
+		return pickLeast(d, q)
+	}
+	return best
+}
+
+func compareSuspect(a, b *entry) int {
+	switch {
+	case a.Isolating && !b.Isolating:
+		return -1
+	case b.Isolating && !a.Isolating:
+		return 1
+	}
+	return cmp.Compare(a.outstanding(), b.outstanding())
+}
+
 // pickLeast returns the open replica with the fewest outstanding requests.
 func pickLeast(d *Directory, q Query) *entry {
 	p := d.pools[q.Model]
