Dispatch: demand outlives an eviction

Cause: the demand of an adapter was forgotten with its eviction, so one that came back counted as new. Change: a bounded table of demand for each replica, resident or not.

--- a/core/coordination/dispatch/dispatcher.go
+++ b/core/coordination/dispatch/dispatcher.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"papayaspoke/core/coordination/dispatch/budget"
+	"papayaspoke/core/coordination/dispatch/demand"
 	"papayaspoke/core/coordination/dispatch/quarantine"
 	"papayaspoke/core/coordination/dispatch/retry"
 	"papayaspoke/core/ident"
@@ -134,6 +135,7 @@
 		busyUntil:   ev.BusyUntil,
 		residents:   make(map[ident.Adapter]*resident),
 		lines:       make(map[ident.Adapter]*line),
+		demand:      demand.NewTable(),
 	}
 	i, _ := slices.BinarySearchFunc(d.replicas, p.name, compareName)
 	d.replicas = slices.Insert(d.replicas, i, p)
@@ -227,14 +229,7 @@
 		d.emit(Announce{Upstream: p.name})
 	}
 	p.enqueue(r, d.policy.Compare)
-	d.countDemand(now, p, r)
-}
-
-// countDemand counts the demand of a request that now waits for p.
-func (d *Dispatcher) countDemand(now time.Time, p *replica, r *request) {
-	if res := p.residents[r.Adapter]; res != nil {
-		res.demand.Add(now, 1)
-	}
+	p.demand.Add(now, r.Adapter, 1)
 }
 
 // candidates returns the replicas that r may wait for. Replicas that run
--- a/core/coordination/dispatch/load.go
+++ b/core/coordination/dispatch/load.go
@@ -213,7 +213,6 @@
 		d.backoff.Loaded(pair)
 		d.loads.add(now.Sub(load.ordered))
 		p.residents[load.adapter] = &resident{used: now}
-		p.residents[load.adapter].demand.Add(now, float64(p.lineLength(load.adapter)))
 	}
 	d.emit(Announce{Upstream: p.name})
 }
@@ -244,13 +243,6 @@
 	return false
 }
 
-func (p *replica) lineLength(a ident.Adapter) int {
-	if l := p.lines[a]; l != nil {
-		return len(l.requests)
-	}
-	return 0
-}
-
 // dropLoad ends the open load and returns its permit.
 func (d *Dispatcher) dropLoad(p *replica) {
 	if p.load != nil && p.load.permit != 0 {
--- a/core/coordination/dispatch/replica.go
+++ b/core/coordination/dispatch/replica.go
@@ -41,8 +41,6 @@
 	// leaving is true from the order to evict it to the answer; nothing is
 	// sent for it.
 	leaving bool
-	// demand counts the requests for it.
-	demand demand.Counter
 	// used is when a request for it was last sent or finished.
 	used time.Time
 }
@@ -85,6 +83,8 @@
 
 	// residents holds at most slots adapters, those on their way included.
 	residents map[ident.Adapter]*resident
+	// demand counts the requests that were placed here by adapter.
+	demand *demand.Table
 	// load is nil if no load order is open. Loads run one at a time.
 	load *loading
 	// asked is the adapter that the newest Ask named, or zero.
@@ -146,7 +146,7 @@
 	var out []Idle
 	for a, r := range p.residents {
 		if !p.pinned(a, r) {
-			out = append(out, Idle{Adapter: a, Used: r.used, Demand: r.demand.At(now)})
+			out = append(out, Idle{Adapter: a, Used: r.used, Demand: p.demand.At(now, a)})
 		}
 	}
 	slices.SortFunc(out, func(a, b Idle) int { return a.Adapter.Compare(b.Adapter) })
