Budget: turn away the misses that cannot be loaded

Ruled out: refusing by the owner's own measured waits (0.4 misses a second at one owner are too few); last come first served (first ones of a short burst would starve). Change: owners count misses, the holder averages them over 20 s and answers with the share it can serve; owners turn away the rest at once. New: event Admitted, Ask.Misses, Holder.Admit; additive.

--- a/core/coordination/dispatch/budget/budget.go
+++ b/core/coordination/dispatch/budget/budget.go
@@ -75,6 +75,10 @@
 	Wants []Want
 	// Fallback is true while the owner uses its fixed share.
 	Fallback bool
+	// Misses is the number of times, since the owner started, that a request
+	// arrived for an adapter that no other was waiting for and that had to be
+	// loaded, whether the request was taken or not.
+	Misses uint64
 	// Loading is the number of loads that the owner has in transit. A new
 	// holder learns from it of loads that an earlier one permitted.
 	Loading int
@@ -92,6 +96,8 @@
 	heard time.Time
 	// fallback is as the newest Ask said.
 	fallback bool
+	// misses is as the newest Ask said.
+	misses uint64
 	// foreign is the number of loads in transit, as of the newest Ask, that
 	// this holder gave no permit for; never negative.
 	foreign int
@@ -108,6 +114,8 @@
 	granted map[PermitID]grant
 	// starts are the times of recent grants in ascending order.
 	starts []time.Time
+	// misses is the number of misses of all owners, decayed over missSpan.
+	misses misses
 	// owners holds every daemon of names.
 	owners map[ident.Daemon]*owner
 	// names is sorted; its order fixes who holds a share.
@@ -152,6 +160,7 @@
 	if o == nil {
 		return h.Tick(now)
 	}
+	h.countMisses(now, o, a.Misses)
 	o.heard, o.fallback = now, a.Fallback
 	o.foreign = max(0, a.Loading-h.grantedTo(a.Owner))
 	o.wants = slices.DeleteFunc(slices.Clone(a.Wants), func(w Want) bool { return !now.Before(w.Deadline) })
--- a/core/coordination/dispatch/dispatcher.go
+++ b/core/coordination/dispatch/dispatcher.go
@@ -32,6 +32,7 @@
 	retries    *retry.Budget
 	backoff    *retry.Backoff
 
+	admission admission
 	// asked are the wants of the newest Ask, and askedAt is when it was made.
 	asked   []budget.Want
 	askedAt time.Time
@@ -55,6 +56,7 @@
 		quarantine: quarantine.New(),
 		retries:    retry.NewBudget(),
 		backoff:    retry.NewBackoff(),
+		admission:  admission{share: 1, credit: 1},
 	}
 }
 
@@ -93,8 +95,11 @@
 		d.restarted(now, ev)
 	case Granted:
 		d.granted(now, ev)
+	case Admitted:
+		d.admission.share = ev.Share
 	case BudgetLost:
 		d.fallback, d.share = true, ev.Share
+		d.admission.share = 1
 	case BudgetFound:
 		d.fallback = false
 	case Quarantines:
@@ -225,6 +230,11 @@
 		d.refuse(r, err.WithRetryAfter(now.Add(max(e.Wait, time.Second))))
 		return
 	}
+	if !d.admit(p, r) {
+		err := result.New(result.Overloaded, "more adapters are asked for than can be loaded")
+		d.refuse(r, err.WithRetryAfter(now.Add(retryMiss)))
+		return
+	}
 	if r.alone && !p.isolates() {
 		d.emit(Announce{Upstream: p.name})
 	}
--- a/core/coordination/dispatch/event.go
+++ b/core/coordination/dispatch/event.go
@@ -163,6 +163,10 @@
 // Granted brings permits of the load budget.
 type Granted struct{ Permits []budget.Permit }
 
+// Admitted brings the share of misses that the load budget can serve, see
+// [budget.Holder.Admit]. It comes with the answer to each Ask.
+type Admitted struct{ Share float64 }
+
 // Tick passes time. A tick every 20 ms to 100 ms is enough.
 type Tick struct{}
 
@@ -191,6 +195,7 @@
 func (Report) event()      {}
 func (Restarted) event()   {}
 func (Granted) event()     {}
+func (Admitted) event()    {}
 func (Tick) event()        {}
 func (BudgetLost) event()  {}
 func (BudgetFound) event() {}
--- a/core/coordination/dispatch/load.go
+++ b/core/coordination/dispatch/load.go
@@ -119,7 +119,13 @@
 		return
 	}
 	d.asked, d.askedAt = wants, now
-	d.emit(AskPermits{Ask: budget.Ask{Owner: d.self, Wants: slices.Clone(wants), Fallback: d.fallback, Loading: d.loading()}})
+	d.emit(AskPermits{Ask: budget.Ask{
+		Owner:    d.self,
+		Wants:    slices.Clone(wants),
+		Fallback: d.fallback,
+		Misses:   d.admission.misses,
+		Loading:  d.loading(),
+	}})
 }
 
 func (d *Dispatcher) askDue(now time.Time, wants []budget.Want) bool {
