Budget: drain the queue while misses are in excess

Cause: the share that is admitted equalled what can be loaded, so the queue from before the excess was noticed stayed. Change: 0.9 of the loads go to new misses while there are too many; the average is over 10 s.

--- a/core/coordination/dispatch/budget/admit.go
+++ b/core/coordination/dispatch/budget/admit.go
@@ -6,7 +6,11 @@
 )
 
 // missSpan is the span that misses are averaged over.
-const missSpan = 20 * time.Second
+const missSpan = 10 * time.Second
+
+// drain is the part of the loads that is given to new misses while there are
+// too many, so that the queue becomes shorter.
+const drain = 0.9
 
 // misses counts misses with exponential decay over missSpan.
 type misses struct {
@@ -38,5 +42,8 @@
 func (h *Holder) Admit(now time.Time) float64 {
 	rate := h.misses.countAt(now) / missSpan.Seconds()
 	loads := float64(h.limits.PerSecond) / window.Seconds()
-	return loads / max(rate, loads)
+	if rate <= loads {
+		return 1
+	}
+	return drain * loads / rate
 }
