--- a/core/coordination/dispatch/budget/budget_test.go
+++ b/core/coordination/dispatch/budget/budget_test.go
@@ -157,12 +157,12 @@
 		"short burst":     {9, 2, func(s float64) bool { return s == 1 }},
 		"lasting excess":  {6, 60, func(s float64) bool { return s > 0.4 && s < 0.5 }},
 		"excess is over":  {0, 60, func(s float64) bool { return s == 1 }},
-		"owner restarted": {-1, 1, func(s float64) bool { return s == 1 }},
+		"owner restarted": {-1, 3, func(s float64) bool { return s == 1 }},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			h, now := heardHolder(owners, limits)
-			misses := 1000
+			misses := 5
 			h.Ask(now, budget.Ask{Owner: "a", Misses: uint64(misses)})
 			for range c.seconds {
 				now = now.Add(time.Second)
