Routing: prompt heads break ties, base model requests need no full scan

Cause: a request without an adapter looked at every replica; prompt heads were not used between replicas; two struct fields were durations. Change: such requests choose among the homes of their prompt's head; among equal holders the head's rendezvous order decides; dispatch.Estimate holds instants. Query gains Prefix.

--- a/core/coordination/dispatch/dispatcher.go
+++ b/core/coordination/dispatch/dispatcher.go
@@ -223,11 +223,10 @@
 		return
 	}
 	p := d.find(cs[d.policy.Choose(r.Request, cs)].Upstream)
-	e := d.estimate(r)
-	e.Wait = d.queueTime(p, r)
-	if !r.alone && !d.runsNow(p, r) && d.policy.Hopeless(now, r.Request, e) {
+	wait := d.queueTime(p, r)
+	if !r.alone && !d.runsNow(p, r) && d.policy.Hopeless(now, r.Request, d.estimate(now.Add(wait), r)) {
 		err := result.New(result.Overloaded, "the wait is longer than the target")
-		d.refuse(r, err.WithRetryAfter(now.Add(max(e.Wait, time.Second))))
+		d.refuse(r, err.WithRetryAfter(now.Add(max(wait, time.Second))))
 		return
 	}
 	if !d.admit(p, r) {
--- a/core/coordination/dispatch/estimate.go
+++ b/core/coordination/dispatch/estimate.go
@@ -24,15 +24,20 @@
 
 func (a *average) span() time.Duration { return time.Duration(a.seconds * float64(time.Second)) }
 
-// estimate returns how long r runs once it is sent. It is capped at half of
+// runTime returns how long r runs once it is sent. It is capped at half of
 // the time that the class allows: an average from a bad spell would otherwise
 // refuse all requests, and there would be no new samples to mend it.
-func (d *Dispatcher) estimate(r *request) Estimate {
+func (d *Dispatcher) runTime(r *request) time.Duration {
 	a := d.estimates[r.Class]
 	if a == nil {
-		return Estimate{}
+		return 0
 	}
-	return Estimate{Run: min(a.span(), r.Deadline.Sub(r.Arrived)/2), Samples: a.samples}
+	return min(a.span(), r.Deadline.Sub(r.Arrived)/2)
+}
+
+// estimate returns what r has before it if it is sent at start.
+func (d *Dispatcher) estimate(start time.Time, r *request) Estimate {
+	return Estimate{Start: start, End: start.Add(d.runTime(r))}
 }
 
 // queueTime returns how long the requests that go before r keep p busy.
--- a/core/coordination/dispatch/load.go
+++ b/core/coordination/dispatch/load.go
@@ -89,7 +89,7 @@
 // latestStart returns when a load for r must start so that r can meet its
 // deadline, but never a time that has passed: what still waits is wanted.
 func (d *Dispatcher) latestStart(now time.Time, r *request) time.Time {
-	t := r.Deadline.Add(-d.estimate(r).Run - d.loads.span())
+	t := r.Deadline.Add(-d.runTime(r) - d.loads.span())
 	if soon := now.Add(time.Second); t.Before(soon) && r.alone {
 		return soon
 	}
--- a/core/coordination/dispatch/policy.go
+++ b/core/coordination/dispatch/policy.go
@@ -38,12 +38,10 @@
 
 // Estimate is what a request still has before it.
 type Estimate struct {
-	// Wait is the time until the request can be sent.
-	Wait time.Duration
-	// Run is the time from then to the end of the answer.
-	Run time.Duration
-	// Samples is the number of requests that the estimate rests on.
-	Samples int
+	// Start is when the request can be sent.
+	Start time.Time
+	// End is when the answer will be whole; not before Start.
+	End time.Time
 }
 
 // Policy is what varies between ways to dispatch. The functions are pure.
@@ -180,12 +178,10 @@
 	return best
 }
 
-// hopeless tells that the deadline has passed or that the class is known to
-// take longer than the time that is left.
-func hopeless(now time.Time, r Request, e Estimate) bool {
-	return now.Add(e.Wait + e.Run).After(r.Deadline)
-}
+// hopeless tells that the answer will not be whole by the deadline.
+func hopeless(_ time.Time, r Request, e Estimate) bool { return e.End.After(r.Deadline) }
 
+// expired tells that the deadline has passed.
 func expired(now time.Time, r Request, _ Estimate) bool { return now.After(r.Deadline) }
 
 func saves(n int, _ Idle) float64 { return float64(n) }
--- a/core/coordination/dispatch/routing/route.go
+++ b/core/coordination/dispatch/routing/route.go
@@ -24,10 +24,15 @@
 	Adapter ident.Adapter
 	// DataCentre is where the daemon that asks is.
 	DataCentre ident.DataCentre
-	// Suspect is true for a request that must run alone; Digest is its body's
-	// and counts only then.
+	// Suspect is true for a request that must run alone.
 	Suspect bool
-	Digest  quarantine.Digest
+	// Digest is that of the body; it decides where suspects and requests
+	// without an adapter go.
+	Digest quarantine.Digest
+	// Prefix identifies the head of the prompt; zero if it is not known.
+	// Among equals, requests with one prefix go to the same replica, whose
+	// cache may hold it.
+	Prefix uint64
 	// Exclude are replicas that have turned the request away.
 	Exclude []ident.Upstream
 }
@@ -80,10 +85,7 @@
 	if q.Suspect {
 		return pickSuspect(d, q)
 	}
-	if q.Adapter.IsZero() {
-		return pickLeast(d, q)
-	}
-	holder := bestHolder(d, q)
+	holder := q.best(d.holdersOf(q))
 	if holder != nil && holder.lack() < holder.MaxBatch/spread {
 		return holder
 	}
@@ -97,9 +99,29 @@
 	return holder
 }
 
-func bestHolder(d *Directory, q Query) *entry {
+// holdersOf returns the replicas that hold the adapter. Without an adapter
+// any replica will do, and the homes of the prompt stand for all.
+func (d *Directory) holdersOf(q Query) []*entry {
+	if !q.Adapter.IsZero() {
+		return d.holders[q.Adapter]
+	}
+	if p := d.pools[q.Model]; p != nil {
+		return p.ofBucket(q.bucket())
+	}
+	return nil
+}
+
+// bucket returns the bucket of the prompt's head, or else of the body.
+func (q Query) bucket() uint32 {
+	if q.Prefix != 0 {
+		return uint32(q.Prefix % buckets)
+	}
+	return binary.BigEndian.Uint32(q.Digest[:]) % buckets
+}
+
+func (q Query) best(es []*entry) *entry {
 	var best *entry
-	for _, e := range d.holders[q.Adapter] {
+	for _, e := range es {
 		if e.Model == q.Model && q.takes(e) && (best == nil || q.compareHolders(e, best) < 0) {
 			best = e
 		}
@@ -111,12 +133,18 @@
 // the others, and those without room by how much they lack.
 func (q Query) compareHolders(a, b *entry) int {
 	ra, rb := a.room(), b.room()
-	switch {
-	case ra > 0 && rb > 0:
-		return cmp.Or(cmp.Compare(ra, rb), q.compareCentres(a, b), cmp.Compare(a.Upstream, b.Upstream))
-	default:
-		return cmp.Or(cmp.Compare(rb, ra), q.compareCentres(a, b), cmp.Compare(a.Upstream, b.Upstream))
+	if ra <= 0 || rb <= 0 {
+		ra, rb = rb, ra
+	}
+	return cmp.Or(cmp.Compare(ra, rb), q.compareCentres(a, b), q.comparePrefix(a, b), cmp.Compare(a.Upstream, b.Upstream))
+}
+
+// comparePrefix ranks replicas by rendezvous hashing of the prompt's head.
+func (q Query) comparePrefix(a, b *entry) int {
+	if q.Prefix == 0 {
+		return 0
 	}
+	return compareScores(uint32(q.Prefix%buckets))(a, b)
 }
 
 // compareCentres puts the data centre of the query first.
@@ -173,7 +201,7 @@
 	}
 	var best *entry
 	var seen int
-	for _, e := range p.ofBucket(binary.BigEndian.Uint32(q.Digest[:]) % buckets) {
+	for _, e := range p.ofBucket(Query{Digest: q.Digest}.bucket()) {
 		if e.Closed || slices.Contains(q.Exclude, e.Upstream) {
 			continue
 		}
--- a/core/coordination/dispatch/routing/routing_test.go
+++ b/core/coordination/dispatch/routing/routing_test.go
@@ -67,7 +67,13 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			c.q.Model, c.q.Adapter = model, adapter(7)
+			c.q.Model = model
+			if c.q.Adapter.IsZero() {
+				c.q.Adapter = adapter(7)
+			}
+			if c.q.Adapter.Name == "-" {
+				c.q.Adapter = ident.Adapter{}
+			}
 			got, ok := c.d.Route(c.q)
 			assert.Equal(t, got.Upstream, c.want)
 			assert.Equal(t, ok, c.want != "")
@@ -117,6 +123,19 @@
 	}
 }
 
+func TestPrefixBreaksTies(t *testing.T) {
+	d := directory(replica(0, 7), replica(3, 7), replica(6, 7), replica(9, 7))
+	seen := map[ident.Upstream]bool{}
+	for prefix := range uint64(40) {
+		q := routing.Query{Model: model, Adapter: adapter(7), Prefix: prefix + 1}
+		first, _ := d.Route(q)
+		again, _ := d.Route(q)
+		assert.Equal(t, first, again)
+		seen[first.Upstream] = true
+	}
+	assert.Equal(t, len(seen), 4, "prefixes do not spread")
+}
+
 func TestAddresses(t *testing.T) {
 	d := directory(replica(0), replica(2, 7), with(replica(4, 7), func(r *routing.Replica) { r.Closed = true }), replica(6, 7))
 	got := d.Addresses(routing.Query{Model: model, Adapter: adapter(7), DataCentre: "dc2"}, 3)
--- a/core/coordination/dispatch/send.go
+++ b/core/coordination/dispatch/send.go
@@ -44,7 +44,7 @@
 			return
 		}
 		p.dequeue(r)
-		if d.policy.Hopeless(now, r.Request, Estimate{}) {
+		if d.policy.Hopeless(now, r.Request, Estimate{Start: now, End: now}) {
 			d.refuse(r, result.New(result.DeadlineHopeless, "the target passed while it waited").WithRetryAfter(now.Add(time.Second)))
 			continue
 		}
@@ -109,14 +109,12 @@
 func (d *Dispatcher) refuseHopeless(now time.Time, p *replica) {
 	var out []*request
 	for a, l := range p.lines {
-		var wait time.Duration
+		start := now
 		if !p.expects(a) {
-			wait = d.loads.span()
+			start = now.Add(d.loads.span())
 		}
 		for _, r := range l.requests {
-			e := d.estimate(r)
-			e.Wait = wait
-			if !d.policy.Hopeless(now, r.Request, e) {
+			if !d.policy.Hopeless(now, r.Request, d.estimate(start, r)) {
 				break
 			}
 			out = append(out, r)
