--- /dev/null
+++ b/core/coordination/dispatch/budget/main_test.go
@@ -0,0 +1,19 @@
+package budget_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property tests, so that the verdict is the
+// same every time; -rapid.seed on the command line still wins.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
--- a/core/coordination/dispatch/dispatcher.go
+++ b/core/coordination/dispatch/dispatcher.go
@@ -189,15 +189,6 @@
 	if !req.Retried {
 		d.retries.Arrived(req.Class)
 	}
-	switch d.verdict(now, r) {
-	case quarantine.Convicted:
-		err := result.New(result.Quarantined, "it crashed two upstreams")
-		d.refuse(r, err.WithRetryAfter(d.quarantine.Until(req.Digest)))
-		return
-	case quarantine.Suspect:
-		r.alone = true
-	case quarantine.Clear:
-	}
 	d.place(now, r)
 }
 
@@ -214,9 +205,18 @@
 	return d.quarantine.Verdict(now, body)
 }
 
-// place lets a request wait for one of the replicas, or ends it if there is
-// none.
+// place lets a request wait for one of the replicas, or ends it if its body is
+// in quarantine or there is none.
 func (d *Dispatcher) place(now time.Time, r *request) {
+	switch d.verdict(now, r) {
+	case quarantine.Convicted:
+		err := result.New(result.Quarantined, "it crashed two upstreams")
+		d.refuse(r, err.WithRetryAfter(d.quarantine.Until(r.Digest)))
+		return
+	case quarantine.Suspect:
+		r.alone = true
+	case quarantine.Clear:
+	}
 	cs := d.candidates(r)
 	if len(cs) == 0 {
 		d.refuse(r, result.New(result.NoUpstream, "no replica of this owner takes it"))
--- a/core/coordination/dispatch/finish.go
+++ b/core/coordination/dispatch/finish.go
@@ -131,6 +131,7 @@
 	}
 	e := d.quarantine.Crashed(now, r.Digest, r.alone)
 	d.emit(Quarantine{Entry: e})
+	d.judgeAll(now)
 	return e
 }
 
@@ -213,6 +214,11 @@
 	for _, e := range ev.Entries {
 		d.quarantine.Merge(now, e)
 	}
+	d.judgeAll(now)
+}
+
+// judgeAll applies the verdicts to everything that waits.
+func (d *Dispatcher) judgeAll(now time.Time) {
 	for _, p := range d.replicas {
 		waiting := p.queued()
 		sortRequests(waiting)
