Dispatch: an owner without a share hands back what must be loaded

Cause: without a holder only PerSecond owners may load; requests for cold adapters waited at the others until they were hopeless. Change: such an owner refuses them as NoUpstream, so that they are routed to one that may load. TestLimitsWithoutHolder takes the holder away for two minutes and gives a new one.

--- a/core/coordination/dispatch/aims_test.go
+++ b/core/coordination/dispatch/aims_test.go
@@ -14,6 +14,22 @@
 	})
 }
 
+// TestLimitsWithoutHolder checks that fixed shares keep the limits while there
+// is no holder of the budget and when a new one takes over, and that cold
+// adapters are still loaded.
+func TestLimitsWithoutHolder(t *testing.T) {
+	for _, s := range sizes {
+		t.Run(s.name, func(t *testing.T) {
+			p := run(s, "no holder", policy, *seed)
+			t.Logf("urgent %.4f notes %.4f letters %.4f, p95 stall %v", p.stats.within("urgent"), p.stats.within("notes"), p.stats.within("letters"), p.stats.stall(0.95))
+			assert.Check(t, p.stats.transit <= s.limits.InTransit, "%d loads in transit", p.stats.transit)
+			assert.Check(t, p.stats.perSecond <= s.limits.PerSecond, "%d loads in a second", p.stats.perSecond)
+			assert.Check(t, p.stats.within("letters") > 0.9, "%v", p.stats.causes)
+			assert.Check(t, len(p.faults) == 0, "%q", p.faults)
+		})
+	}
+}
+
 var hard = []string{"2 broadcast flood", "3 popularity shift", "4 scan in a flood", "5 empty restarts"}
 
 // TestAimStalls checks that the 95th percentile of the stalls is at most a
--- a/core/coordination/dispatch/dispatcher.go
+++ b/core/coordination/dispatch/dispatcher.go
@@ -98,8 +98,7 @@
 	case Admitted:
 		d.admission.share = ev.Share
 	case BudgetLost:
-		d.fallback, d.share = true, ev.Share
-		d.admission.share = 1
+		d.budgetLost(now, ev)
 	case BudgetFound:
 		d.fallback = false
 	case Quarantines:
@@ -229,6 +228,10 @@
 		d.refuse(r, err.WithRetryAfter(now.Add(max(wait, time.Second))))
 		return
 	}
+	if !d.mayLoad() && !p.expects(r.Adapter) {
+		d.refuse(r, result.New(result.NoUpstream, "this owner may not load without the budget's holder"))
+		return
+	}
 	if !d.admit(p, r) {
 		err := result.New(result.Overloaded, "more adapters are asked for than can be loaded")
 		d.refuse(r, err.WithRetryAfter(now.Add(retryMiss)))
--- a/core/coordination/dispatch/load.go
+++ b/core/coordination/dispatch/load.go
@@ -138,6 +138,36 @@
 	return !slices.EqualFunc(d.asked, wants, same)
 }
 
+// budgetLost switches to the fixed share. If it is nothing, requests that wait
+// for a load are handed back, to be routed to an owner that may load.
+func (d *Dispatcher) budgetLost(now time.Time, ev BudgetLost) {
+	d.fallback, d.share = true, ev.Share
+	d.admission.share = 1
+	for _, p := range d.replicas {
+		d.emit(Announce{Upstream: p.name})
+		if !d.mayLoad() {
+			d.moveCold(now, p)
+		}
+	}
+}
+
+// moveCold places the requests anew that wait for an adapter to be loaded.
+func (d *Dispatcher) moveCold(now time.Time, p *replica) {
+	waiting := p.queued()
+	sortRequests(waiting)
+	for _, r := range waiting {
+		if !p.expects(r.Adapter) {
+			p.dequeue(r)
+			d.place(now, r)
+		}
+	}
+}
+
+// mayLoad reports whether this owner may load at all at present.
+func (d *Dispatcher) mayLoad() bool {
+	return !d.policy.Budgeted || !d.fallback || d.share.PerSecond > 0
+}
+
 // takeShare uses the fixed share for one load, if it allows one now.
 func (d *Dispatcher) takeShare(now time.Time) bool {
 	d.starts = slices.DeleteFunc(d.starts, func(t time.Time) bool { return now.Sub(t) >= time.Second })
--- a/core/coordination/dispatch/workloads_test.go
+++ b/core/coordination/dispatch/workloads_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"papayaspoke/core/coordination/dispatch"
+	"papayaspoke/core/coordination/dispatch/budget"
 	"papayaspoke/core/coordination/dispatch/quarantine"
 	"papayaspoke/core/ident"
 )
@@ -62,6 +63,10 @@
 	"8 lost data centre": {arrivals: busy, faults: func(w *world) {
 		w.after(warmUp+time.Minute, func() { w.loseCentre(centre(0)) })
 	}},
+	"no holder": {faults: func(w *world) {
+		w.after(warmUp+time.Minute, func() { w.holder = nil })
+		w.after(warmUp+3*time.Minute, func() { w.holder = budget.NewHolder(w.now, w.size.limits, w.names(), 1<<32) })
+	}},
 	"9 late reports": {arrivals: flood, faults: func(w *world) {
 		w.reportLag, w.recordLag, w.gaps = 3*time.Second, 3*time.Second, 0.3
 	}},
@@ -70,7 +75,9 @@
 func workloadNames() []string {
 	var out []string
 	for name := range workloads {
-		out = append(out, name)
+		if name != "no holder" {
+			out = append(out, name)
+		}
 	}
 	slices.Sort(out)
 	return out
