--- /dev/null
+++ b/core/coordination/consensus/join.go
@@ -0,0 +1,204 @@
+package consensus
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"papayaspoke/core/coordination/entry"
+	"papayaspoke/core/ident"
+)
+
+const (
+	// probeInterval is how often a node without a cluster probes.
+	probeInterval = 300 * time.Millisecond
+	// probeFresh is how long an answer or a probe counts.
+	probeFresh = 2 * time.Second
+	// maxLearners bounds the learners that are added without an operator.
+	maxLearners = 2
+)
+
+// probe is the answer of a listed daemon.
+type probe struct {
+	voter Voter
+	// blank is true if it never belonged to a cluster.
+	blank bool
+	// listed is sorted.
+	listed []ident.Daemon
+	until  time.Time
+}
+
+// tickBlank probes the listed voters and forms a cluster if all are blank.
+func (n *Node) tickBlank(now time.Time) {
+	if !slices.Contains(n.listed, n.self.Daemon) {
+		return
+	}
+	if n.allBlank(now) && n.self.Daemon == n.listed[0] {
+		n.form(now)
+		return
+	}
+	if now.Before(n.repeatAt) {
+		return
+	}
+	n.repeatAt = now.Add(probeInterval)
+	for _, d := range n.listed {
+		if d != n.self.Daemon {
+			n.send(Message{Kind: Probe, To: Voter{Daemon: d}, Listed: n.listed})
+		}
+	}
+}
+
+func (n *Node) allBlank(now time.Time) bool {
+	for _, d := range n.listed {
+		p, ok := n.probes[d]
+		fresh := ok && p.blank && now.Before(p.until) && slices.Equal(p.listed, n.listed)
+		if d != n.self.Daemon && !fresh {
+			return false
+		}
+	}
+	return true
+}
+
+// form makes a new cluster of the listed voters.
+func (n *Node) form(now time.Time) {
+	voters := []Voter{n.self}
+	for _, d := range n.listed {
+		if d != n.self.Daemon {
+			voters = append(voters, n.probes[d].voter)
+		}
+	}
+	first := FirstState(n.newCluster(), voters)
+	n.hard = first.Hard
+	n.install(first.Snapshot)
+	n.step.hard = true
+	n.electionAt = now
+}
+
+// FirstState returns the state that the first voter of a new cluster starts
+// from.
+func FirstState(cluster string, voters []Voter) State {
+	return RecoveredState(cluster, voters, 1, 1, nil)
+}
+
+// RecoveredState returns the state of a new cluster that continues from the
+// state machine's state after the entry at the index, of the given term. It is
+// for operators, after the disks of a majority are lost: entries that only
+// those had are lost too. Nodes of the old cluster are refused by the new
+// cluster's id; they join again with an empty folder.
+func RecoveredState(cluster string, voters []Voter, index, term uint64, data []byte) State {
+	return State{
+		Hard:     Hard{Cluster: cluster, Term: term},
+		Snapshot: Snapshot{Index: index, Term: term, Members: NewMembers(voters, nil), Data: data},
+	}
+}
+
+// adopt reports whether the cluster is the node's own. A node without one
+// makes it its own.
+func (n *Node) adopt(cluster string) bool {
+	if n.hard.Cluster == "" {
+		n.hard.Cluster = cluster
+		n.step.hard = true
+	}
+	return n.hard.Cluster == cluster
+}
+
+func (n *Node) receiveProbe(now time.Time, m Message) {
+	if m.To.Daemon != n.self.Daemon {
+		return
+	}
+	if m.Kind == ProbeReply && m.To == n.self {
+		blank := m.Cluster == ""
+		n.probes[m.From.Daemon] = probe{m.From, blank, m.Listed, now.Add(probeFresh)}
+		return
+	}
+	if m.Kind != Probe {
+		return
+	}
+	n.sendSynced(Message{Kind: ProbeReply, To: m.From, Listed: n.listed})
+	known := n.members().IsVoter(m.From) || n.members().IsLearner(m.From)
+	if n.role == Leader && !known && m.From.Disk != "" && slices.Contains(n.listed, m.From.Daemon) {
+		n.joiners[m.From] = now.Add(probeFresh)
+	}
+}
+
+// repair proposes the next change that brings a listed daemon with a new disk
+// into the cluster, or replaces a lost disk. It looks only at the present
+// state, so that the next leader goes on where this one stopped.
+func (n *Node) repair(now time.Time) {
+	if n.refusal() != nil {
+		return
+	}
+	c, ok := n.nextRepair(now)
+	if !ok {
+		return
+	}
+	if m, err := n.changed(c); err == nil && n.reachesMajority(now, m) {
+		n.appendEntry(now, entry.Voters, EncodeMembers(m))
+	}
+}
+
+func (n *Node) nextRepair(now time.Time) (Change, bool) {
+	for _, l := range n.members().learners {
+		if c, ok := n.seat(now, l); ok {
+			return c, true
+		}
+	}
+	for _, j := range slices.SortedFunc(maps.Keys(n.joiners), Voter.Compare) {
+		if !now.Before(n.joiners[j]) {
+			delete(n.joiners, j)
+			continue
+		}
+		if c, ok := n.welcome(now, j); ok {
+			return c, true
+		}
+	}
+	return Change{}, false
+}
+
+// seat returns the next step to make a learner of a listed daemon a voter, if
+// it has caught up with its data synced.
+func (n *Node) seat(now time.Time, l Voter) (Change, bool) {
+	ready := n.alive(now, l) && n.progress[l].match >= n.commit
+	if !ready || !slices.Contains(n.listed, l.Daemon) {
+		return Change{}, false
+	}
+	old, ok := namesake(n.members().voters, l)
+	if !ok {
+		return Change{Promote, l}, true
+	}
+	return Change{Remove, old}, n.gone(now, old)
+}
+
+// welcome returns the next step to make a joiner a learner.
+func (n *Node) welcome(now time.Time, j Voter) (Change, bool) {
+	m := n.members()
+	if m.IsLearner(j) || m.IsVoter(j) {
+		delete(n.joiners, j)
+		return Change{}, false
+	}
+	if old, ok := namesake(m.learners, j); ok {
+		return Change{Remove, old}, n.gone(now, old)
+	}
+	if old, ok := namesake(m.voters, j); ok && !n.gone(now, old) {
+		return Change{}, false
+	}
+	return Change{AddLearner, j}, len(m.learners) < maxLearners
+}
+
+// gone reports whether a member has been silent for long.
+func (n *Node) gone(now time.Time, v Voter) bool {
+	p := n.progress[v]
+	return p != nil && !now.Before(p.goneAt)
+}
+
+// namesake returns the voter in vs with the daemon of v but another disk.
+func namesake(vs []Voter, v Voter) (Voter, bool) {
+	i := slices.IndexFunc(vs, func(o Voter) bool {
+		return cmp.Compare(o.Daemon, v.Daemon) == 0 && o.Disk != v.Disk
+	})
+	if i < 0 {
+		return Voter{}, false
+	}
+	return vs[i], true
+}
--- /dev/null
+++ b/core/coordination/consensus/status.go
@@ -0,0 +1,32 @@
+package consensus
+
+// Voter returns the identity of this node.
+func (n *Node) Voter() Voter { return n.self }
+
+// Cluster returns the id of the cluster, empty if there is none yet.
+func (n *Node) Cluster() string { return n.hard.Cluster }
+
+// Role returns the node's role.
+func (n *Node) Role() Role { return n.role }
+
+// Term returns the current term.
+func (n *Node) Term() uint64 { return n.hard.Term }
+
+// Leader returns the leader of the current term, zero if it isn't known.
+func (n *Node) Leader() Voter { return n.leader }
+
+// Established reports whether the node leads and has committed an entry of its
+// own term: only then does it know everything committed before.
+func (n *Node) Established() bool { return n.role == Leader && n.commit >= n.termStart }
+
+// Commit returns the last committed index that the node knows of.
+func (n *Node) Commit() uint64 { return n.commit }
+
+// LastIndex returns the last index of the log.
+func (n *Node) LastIndex() uint64 { return n.log.last() }
+
+// SnapshotIndex returns the index of the last snapshot.
+func (n *Node) SnapshotIndex() uint64 { return n.snapshot.Index }
+
+// Members returns the configuration in force.
+func (n *Node) Members() Members { return n.members() }
