Data folder: tests; a log without its first record is damage

Cause: the package had no tests; an emptied log file was taken for a new one. Change: tests for restart, torn tail at every length, damage, foreign and lost folder, interrupted start and generation, recovery, writer; the check.

--- /dev/null
+++ b/io/transport/disk/disk_test.go
@@ -0,0 +1,316 @@
+package disk
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"papayaspoke/core/coordination/consensus"
+	"papayaspoke/core/coordination/entry"
+	"papayaspoke/core/option"
+	"papayaspoke/core/result"
+)
+
+// batch returns a batch with count entries from index first on.
+func batch(number, term, first uint64, count int) consensus.Persist {
+	vote := consensus.Voter{Daemon: "a", Disk: "x"}
+	p := consensus.Persist{Number: number, Hard: consensus.Hard{Cluster: "c", Term: term, Vote: vote}}
+	for i := range uint64(count) {
+		data := fmt.Appendf(nil, "entry %d of term %d", first+i, term)
+		p.Entries = append(p.Entries, entry.Entry{Index: first + i, Term: term, Kind: entry.Command, Data: data})
+	}
+	return p
+}
+
+func withSnapshot(p consensus.Persist, index, term uint64) consensus.Persist {
+	members := consensus.NewMembers([]consensus.Voter{{Daemon: "a", Disk: "x"}}, []consensus.Voter{{Daemon: "b", Disk: "y"}})
+	p.Snapshot = option.Some(consensus.Snapshot{Index: index, Term: term, Members: members, Data: bytes.Repeat([]byte("s"), 5000)})
+	return p
+}
+
+func open(t testing.TB, path string) *Folder {
+	f, err := Open(path, "a")
+	assert.NilError(t, err)
+	return f
+}
+
+// filled returns a folder, closed, with five records after the first.
+func filled(t *testing.T) string {
+	path := filepath.Join(t.TempDir(), "data")
+	f := open(t, path)
+	for i := range uint64(5) {
+		assert.NilError(t, f.Write([]consensus.Persist{batch(i+1, 1, i*10+1, 10)}))
+	}
+	assert.NilError(t, f.Close())
+	return path
+}
+
+func logFile(path string, g uint64) string { return filepath.Join(path, logName(g), segmentName) }
+
+// change rewrites a file.
+func change(t *testing.T, name string, f func([]byte) []byte) {
+	b, err := os.ReadFile(name)
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(name, f(b), 0o600))
+}
+
+// contents returns the contents of all files but the lock.
+func contents(t *testing.T, path string) map[string]string {
+	all := map[string]string{}
+	err := filepath.WalkDir(path, func(name string, d os.DirEntry, err error) error {
+		if err != nil || d.IsDir() || d.Name() == lockName {
+			return err
+		}
+		b, err := os.ReadFile(name)
+		all[name] = string(b)
+		return err
+	})
+	assert.NilError(t, err)
+	return all
+}
+
+func TestRestartKeepsState(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "data")
+	f := open(t, path)
+	voter := f.Voter()
+	assert.Assert(t, len(voter.Disk) >= 20)
+	var want consensus.State
+	write := func(ps ...consensus.Persist) {
+		assert.NilError(t, f.Write(ps))
+		for _, p := range ps {
+			assert.NilError(t, merge(&want, p))
+		}
+		assert.NilError(t, f.Close())
+		f = open(t, path)
+		assert.Equal(t, f.Voter(), voter)
+		assert.DeepEqual(t, f.State().Hard, want.Hard)
+		assert.DeepEqual(t, f.State().Entries, want.Entries)
+		assert.DeepEqual(t, f.State().Snapshot.Data, want.Snapshot.Data)
+		assert.DeepEqual(t, f.State().Snapshot.Members.Voters(), want.Snapshot.Members.Voters())
+		assert.DeepEqual(t, f.State().Snapshot.Members.Learners(), want.Snapshot.Members.Learners())
+	}
+	write(batch(1, 1, 1, 3))
+	write(batch(2, 2, 2, 1), batch(3, 2, 3, 400))
+	write(batch(4, 5, 1, 0))
+	write(batch(5, 5, 100, 300))
+	write(withSnapshot(batch(6, 5, 350, 50), 349, 5))
+	write(batch(7, 6, 360, 5))
+	write(batch(8, 6, 365, 1), withSnapshot(batch(9, 7, 366, 0), 365, 6), batch(10, 7, 366, 2))
+	assert.Equal(t, f.generation, uint64(3))
+	write(withSnapshot(batch(11, 8, 1, 0), 1000, 8))
+	assert.NilError(t, f.Close())
+	left, err := filepath.Glob(filepath.Join(path, "*"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(left), 5, "%v", left)
+}
+
+// TestTornTail cuts the last record at every length.
+func TestTornTail(t *testing.T) {
+	path := filled(t)
+	whole, err := os.ReadFile(logFile(path, 1))
+	assert.NilError(t, err)
+	last := 0
+	for last+recordSize(whole[last:]) < len(whole) {
+		last += recordSize(whole[last:])
+	}
+	for size := last + 1; size < len(whole); size++ {
+		torn := map[string][]byte{
+			"short": whole[:size],
+			"zeros": append(slices.Clone(whole[:size]), make([]byte, len(whole)-size)...),
+		}
+		for name, b := range torn {
+			assert.NilError(t, os.WriteFile(logFile(path, 1), b, 0o600))
+			f := open(t, path)
+			assert.Equal(t, len(f.State().Entries), 40, "%s at %d", name, size)
+			assert.NilError(t, f.Write([]consensus.Persist{batch(1, 2, 41, 1)}))
+			assert.NilError(t, f.Close())
+			f = open(t, path)
+			assert.Equal(t, len(f.State().Entries), 41)
+			assert.NilError(t, f.Close())
+		}
+	}
+}
+
+// TestDamageIsRefused checks that damage is told and that nothing is changed.
+func TestDamageIsRefused(t *testing.T) {
+	flip := func(at int) func([]byte) []byte {
+		return func(b []byte) []byte {
+			b[(at+len(b))%len(b)] ^= 0x40
+			return b
+		}
+	}
+	remove := func(name string) func(*testing.T, string) {
+		return func(t *testing.T, path string) { assert.NilError(t, os.RemoveAll(filepath.Join(path, name))) }
+	}
+	in := func(name string, f func([]byte) []byte) func(*testing.T, string) {
+		return func(t *testing.T, path string) { change(t, filepath.Join(path, name), f) }
+	}
+	log := filepath.Join("log-2", segmentName)
+	cases := map[string]func(*testing.T, string){
+		"first record":     in(log, flip(20)),
+		"record in middle": in(log, flip(-700)),
+		"length in middle": in(log, func(b []byte) []byte {
+			b[recordSize(b)] = 0xff
+			return b
+		}),
+		"log is empty":     in(log, func([]byte) []byte { return nil }),
+		"identity":         in(identityName, flip(-1)),
+		"identity cut":     in(identityName, func(b []byte) []byte { return b[:5] }),
+		"current":          in(currentName, flip(-1)),
+		"snapshot":         in("snapshot-2", flip(3000)),
+		"snapshot cut":     in("snapshot-2", func(b []byte) []byte { return b[:4000] }),
+		"no identity":      remove(identityName),
+		"no current":       remove(currentName),
+		"no snapshot":      remove("snapshot-2"),
+		"no log":           remove("log-2"),
+		"log without file": remove(log),
+	}
+	for name, damage := range cases {
+		t.Run(name, func(t *testing.T) {
+			path := filled(t)
+			f := open(t, path)
+			assert.NilError(t, f.Write([]consensus.Persist{withSnapshot(batch(1, 1, 31, 20), 30, 1)}))
+			for i := range uint64(3) {
+				assert.NilError(t, f.Write([]consensus.Persist{batch(1, 1, 51+10*i, 10)}))
+			}
+			assert.NilError(t, f.Close())
+			damage(t, path)
+			before := contents(t, path)
+			for range 2 {
+				_, err := Open(path, "a")
+				assert.Equal(t, result.CodeOf(err), result.DiskDamaged, "%v", err)
+			}
+			assert.DeepEqual(t, contents(t, path), before)
+		})
+	}
+}
+
+func TestForeignFolder(t *testing.T) {
+	path := filled(t)
+	_, err := Open(path, "b")
+	assert.Equal(t, result.CodeOf(err), result.DiskForeign)
+	f := open(t, path)
+	_, err = Open(path, "a")
+	assert.Equal(t, result.CodeOf(err), result.DiskForeign, "two processes share the folder")
+	assert.NilError(t, f.Close())
+	assert.NilError(t, open(t, path).Close())
+}
+
+func TestLostFolderIsAnotherVoter(t *testing.T) {
+	path := filled(t)
+	f := open(t, path)
+	old := f.Voter()
+	assert.NilError(t, f.Close())
+	assert.NilError(t, os.RemoveAll(path))
+	f = open(t, path)
+	assert.Assert(t, f.Voter() != old)
+	assert.Equal(t, f.Voter().Daemon, old.Daemon)
+	assert.DeepEqual(t, f.State().Hard, consensus.Hard{})
+	assert.NilError(t, f.Close())
+}
+
+// TestInterruptedFirstStart removes what a crash could keep from the disk.
+func TestInterruptedFirstStart(t *testing.T) {
+	cases := map[string][]string{
+		"identity":             {identityName},
+		"identity and current": {identityName, currentName},
+		"all but the log":      {identityName, currentName, lockName},
+	}
+	for name, lost := range cases {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "data")
+			assert.NilError(t, open(t, path).Close())
+			for _, l := range lost {
+				assert.NilError(t, os.Remove(filepath.Join(path, l)))
+			}
+			assert.NilError(t, os.WriteFile(filepath.Join(path, "."+currentName+"17"), nil, 0o600))
+			f := open(t, path)
+			assert.NilError(t, f.Write([]consensus.Persist{batch(1, 1, 1, 1)}))
+			assert.NilError(t, f.Close())
+			assert.NilError(t, open(t, path).Close())
+		})
+	}
+}
+
+// TestInterruptedGeneration leaves the files of a snapshot that never came
+// into use.
+func TestInterruptedGeneration(t *testing.T) {
+	path := filled(t)
+	f := open(t, path)
+	assert.NilError(t, f.writeGeneration(2, consensus.State{Hard: consensus.Hard{Term: 9}, Snapshot: consensus.Snapshot{Index: 3}}))
+	assert.NilError(t, f.Close())
+	f = open(t, path)
+	assert.Equal(t, len(f.State().Entries), 50)
+	assert.Equal(t, f.State().Hard.Term, uint64(1))
+	assert.NilError(t, f.Write([]consensus.Persist{withSnapshot(batch(1, 1, 1, 0), 50, 1)}))
+	assert.NilError(t, f.Close())
+	f = open(t, path)
+	assert.Equal(t, f.State().Snapshot.Index, uint64(50))
+	assert.NilError(t, f.Close())
+}
+
+func TestRecover(t *testing.T) {
+	path := filled(t)
+	f := open(t, path)
+	st := consensus.RecoveredState("new", []consensus.Voter{f.Voter()}, 50, 1, []byte("state"))
+	assert.NilError(t, f.Recover(st))
+	assert.NilError(t, f.Close())
+	f = open(t, path)
+	assert.Equal(t, f.State().Hard.Cluster, "new")
+	assert.DeepEqual(t, f.State().Snapshot.Data, []byte("state"))
+	assert.Equal(t, len(f.State().Entries), 0)
+	assert.NilError(t, f.Close())
+}
+
+func TestWriterGroupsAndStopsAfterAnError(t *testing.T) {
+	f := open(t, filepath.Join(t.TempDir(), "data"))
+	type told struct {
+		number uint64
+		err    error
+	}
+	ch := make(chan told, 200)
+	w := NewWriter(f, func(number uint64, err error) { ch <- told{number, err} })
+	for i := range uint64(100) {
+		w.Submit(batch(i+1, 1, i+1, 1))
+	}
+	w.Close()
+	last := uint64(0)
+	for len(ch) > 0 {
+		got := <-ch
+		assert.NilError(t, got.err)
+		assert.Assert(t, got.number > last)
+		last = got.number
+	}
+	assert.Equal(t, last, uint64(100))
+
+	assert.NilError(t, f.log.Close())
+	w = NewWriter(f, func(number uint64, err error) { ch <- told{number, err} })
+	w.Submit(batch(101, 1, 101, 1))
+	assert.Assert(t, (<-ch).err != nil)
+	w.Submit(batch(102, 1, 102, 1))
+	w.Close()
+	assert.Equal(t, len(ch), 0)
+	assert.Assert(t, f.Write(nil) != nil)
+}
+
+func BenchmarkCommit(b *testing.B) {
+	for _, size := range []int{1, 64} {
+		b.Run(fmt.Sprintf("group of %d", size), func(b *testing.B) {
+			f := open(b, filepath.Join(b.TempDir(), "data"))
+			next := uint64(1)
+			for b.Loop() {
+				var ps []consensus.Persist
+				for range size {
+					ps = append(ps, batch(next, 1, next, 1))
+					next++
+				}
+				assert.NilError(b, f.Write(ps))
+			}
+			assert.NilError(b, f.Close())
+		})
+	}
+}
--- a/io/transport/disk/log.go
+++ b/io/transport/disk/log.go
@@ -67,11 +67,14 @@
 		return f.damaged(name, err)
 	}
 	good := goodPrefix(b)
+	if good == 0 {
+		// The first record was synced before the generation came into use.
+		return f.damaged(name, errors.New("no first record"))
+	}
 	if good == len(b) {
 		return nil
 	}
-	// The first record was synced before the generation came into use.
-	if good == 0 || holdsRecord(b[good+1:]) {
+	if holdsRecord(b[good+1:]) {
 		return f.damaged(name, errors.New("bad record before the last one"))
 	}
 	file, err := os.OpenFile(f.file(name), os.O_WRONLY, 0)
