--- a/core/coordination/consensus/join_test.go
+++ b/core/coordination/consensus/join_test.go
@@ -207,3 +207,49 @@
 	c.wipe(c.get("c"))
 	c.heal()
 }
+
+// TestWhoMayJoin lets identities probe a leader.
+func TestWhoMayJoin(t *testing.T) {
+	cases := map[string]struct {
+		from    Voter
+		cluster string
+		joins   bool
+	}{
+		"lost its disk":         {Voter{"c", "new"}, "", true},
+		"forgotten by a leader": {Voter{"c", "new"}, "cluster", true},
+		"belongs to another":    {Voter{"c", "new"}, "other", false},
+		"not listed":            {Voter{"d", "d0"}, "", false},
+		"is a member":           {vc, "cluster", false},
+		"namesake is reachable": {Voter{"b", "new"}, "", false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			n, now := scripted(5)
+			now = lead(t, n, now)
+			n.Step(now, from(vb, Message{Kind: AppendReply, Term: 6, Index: 2}))
+			for range 40 {
+				now = now.Add(HeartbeatInterval)
+				n.Step(now, from(vb, Message{Kind: HeartbeatReply, Term: 6}))
+				n.Step(now, Receive(Message{Kind: Probe, Cluster: tc.cluster, From: tc.from, To: va}))
+				n.Step(now, Tick())
+			}
+			assert.Equal(t, n.Members().IsLearner(tc.from), tc.joins)
+		})
+	}
+}
+
+func TestSnapshotHoldsTheMembersOfItsIndex(t *testing.T) {
+	c := newCluster(t, 1, "a", "b", "c")
+	l, d := c.elect(), Voter{"d", "d0"}
+	for _, kind := range []ChangeKind{AddLearner, Promote, Remove} {
+		c.step(l, ChangeMembers(uint64(100+kind), Change{kind, d}))
+		c.settle()
+	}
+	first := l.applied - 2
+	for i, learns := range []bool{true, false, false} {
+		c.step(l, Compact(first+uint64(i), nil))
+		ms := l.node.snapshot.Members
+		assert.Equal(t, ms.IsLearner(d), learns)
+		assert.Equal(t, ms.IsVoter(d), i == 1)
+	}
+}
