--- a/core/result/result.go
+++ b/core/result/result.go
@@ -41,6 +41,10 @@
 	RetryBudget      Code = 207
 	LoadFailed       Code = 208
 	OwnerUnreachable Code = 209
+	Deposed          Code = 210
+	Restarted        Code = 211
+	NotResident      Code = 212
+	Pinned           Code = 213
 
 	Unknown        Code = 301
 	StillRunning   Code = 302
--- a/core/result/table.go
+++ b/core/result/table.go
@@ -28,6 +28,10 @@
 	{RetryBudget, "budget", "retry budget is spent", "Retry after the time given.", 503, true, true},
 	{LoadFailed, "load", "adapter could not be loaded", "Retry later; check the weight store.", 503, true, true},
 	{OwnerUnreachable, "owner", "owner of the replica is unreachable", "Use another of the addresses given.", 503, true, true},
+	{Deposed, "deposed", "order carries an old fencing number", "Use another of the addresses given.", 503, true, true},
+	{Restarted, "restarted", "upstream has another incarnation", "Retry after the time given.", 503, true, true},
+	{NotResident, "notresident", "adapter is not resident", "Retry after the time given.", 503, true, true},
+	{Pinned, "pinned", "adapter is in use and stays", "Retry after the time given.", 503, true, true},
 
 	{Unknown, "unknown", "outcome is unknown", "Do not assume either; look at the service's own record.", 502, false, false},
 	{StillRunning, "running", "same key is still running", "Ask again with the same key.", 409, false, true},
--- /dev/null
+++ b/io/protocol/upstream/client.go
@@ -0,0 +1,222 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"papayaspoke/core/ident"
+	"papayaspoke/core/result"
+	"papayaspoke/io/protocol/wire"
+	"papayaspoke/io/transport/client"
+)
+
+const (
+	// headWithin is how soon an engine acknowledges a request for text; it
+	// does so before the first token.
+	headWithin = 2 * time.Second
+	// silence is how long a stream may bring nothing.
+	silence = 10 * time.Second
+	// cancelWithin bounds the telling of an engine that a stream is given up.
+	cancelWithin = 2 * time.Second
+	// maxAnswer is the largest whole answer in bytes.
+	maxAnswer = 16 << 20
+)
+
+// Client gives orders to engines and passes calls on to plain services. It is
+// safe for concurrent use.
+type Client struct {
+	http *client.Client
+	// headBy, silentAt bound the waits of one stream.
+	headBy, silentAt func(now time.Time) time.Time
+}
+
+// Option changes a client.
+type Option func(*Client)
+
+// WithSilence sets when a stream that brings nothing from now on is silent.
+func WithSilence(at func(now time.Time) time.Time) Option {
+	return func(c *Client) { c.silentAt = at }
+}
+
+// WithHead sets when a request that is sent now over a pooled connection must
+// have been acknowledged.
+func WithHead(by func(now time.Time) time.Time) Option {
+	return func(c *Client) { c.headBy = by }
+}
+
+// NewClient returns a client over the given connections.
+func NewClient(c *client.Client, opts ...Option) *Client {
+	x := &Client{
+		http:     c,
+		headBy:   func(now time.Time) time.Time { return now.Add(headWithin) },
+		silentAt: func(now time.Time) time.Time { return now.Add(silence) },
+	}
+	for _, o := range opts {
+		o(x)
+	}
+	return x
+}
+
+// Load orders the engine at addr to load an adapter. It returns when the
+// adapter is resident. The context bounds the wait; an order whose answer is
+// lost may have been carried out and can be sent again with its id.
+func (c *Client) Load(ctx context.Context, addr string, l Load) (Ack, error) {
+	b := encodeOrder(l.Order)
+	b.Adapter, b.Evict = encodeAdapter(l.Adapter), encodeAdapter(l.Evict)
+	return c.order(ctx, addr, "/orders/load", b)
+}
+
+// Unload orders the engine at addr to give up an idle adapter.
+func (c *Client) Unload(ctx context.Context, addr string, u Unload) (Ack, error) {
+	b := encodeOrder(u.Order)
+	b.Adapter = encodeAdapter(u.Adapter)
+	return c.order(ctx, addr, "/orders/unload", b)
+}
+
+// SetRole orders the engine at addr to change its role.
+func (c *Client) SetRole(ctx context.Context, addr string, s SetRole) (Ack, error) {
+	b := encodeOrder(s.Order)
+	b.Role = s.Role
+	return c.order(ctx, addr, "/orders/role", b)
+}
+
+func (c *Client) order(ctx context.Context, addr, path string, b orderBody) (Ack, error) {
+	var ack ackBody
+	if err := c.exchange(ctx, addr, path, b, &ack); err != nil {
+		return Ack{}, err
+	}
+	if ack.ID != b.ID || ack.Incarnation != b.Incarnation {
+		return Ack{}, result.New(result.WrongAnswer, "order %s to incarnation %d was answered as %s by %d", b.ID, b.Incarnation, ack.ID, ack.Incarnation)
+	}
+	return Ack{ID: ack.ID, Incarnation: ident.Incarnation(ack.Incarnation), Clock: time.UnixMilli(ack.Clock)}, nil
+}
+
+// Cancel asks the engine at addr to stop a request.
+func (c *Client) Cancel(ctx context.Context, addr string, x Cancel) error {
+	var ack ackBody
+	return c.exchange(ctx, addr, "/cancel", cancelBody{Request: string(x.Request), Incarnation: uint64(x.Incarnation)}, &ack)
+}
+
+// Announce tells the daemon at addr of an upstream.
+func (c *Client) Announce(ctx context.Context, addr string, a Announcement) (Welcome, error) {
+	return c.tell(ctx, addr, "announce", encodeAnnouncement(a))
+}
+
+// Refresh sends a report to the daemon at addr.
+func (c *Client) Refresh(ctx context.Context, addr string, r Report) (Welcome, error) {
+	return c.tell(ctx, addr, "refresh", encodeReport(r))
+}
+
+// Leave tells the daemon at addr that an upstream wants no new work.
+func (c *Client) Leave(ctx context.Context, addr string, l Leaving) (Welcome, error) {
+	return c.tell(ctx, addr, "leave", leaveBody{Name: string(l.Name), Incarnation: uint64(l.Incarnation)})
+}
+
+func (c *Client) tell(ctx context.Context, addr, what string, body any) (Welcome, error) {
+	var b welcomeBody
+	if err := c.exchange(ctx, addr, Prefix+what, body, &b); err != nil {
+		return Welcome{}, err
+	}
+	return Welcome{Known: b.Known, Daemons: b.Daemons}, nil
+}
+
+// exchange sends one idempotent message and reads the answer into out.
+func (c *Client) exchange(ctx context.Context, addr, path string, body, out any) error {
+	a, err := c.post(ctx, addr, path, body, time.Time{}, true)
+	if err != nil {
+		return err
+	}
+	defer a.Body().Close()
+	b, err := a.ReadAll(maxAnswer)
+	if err != nil {
+		return failed(ctx, err)
+	}
+	if err := json.Unmarshal(b, out); err != nil {
+		return result.New(result.WrongAnswer, "answer of %s is not the JSON expected: %w", addr, err)
+	}
+	return nil
+}
+
+// post sends one message and returns an answer with status 200.
+func (c *Client) post(ctx context.Context, addr, path string, body any, headBy time.Time, idempotent bool) (*client.Answer, error) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return nil, result.New(result.Internal, "encode message: %w", err)
+	}
+	a, err := c.http.Do(ctx, client.Exchange{
+		Method: http.MethodPost, URL: "http://" + addr + path, Body: b,
+		Header: http.Header{"Content-Type": {"application/json"}},
+		HeadBy: headBy, Idempotent: idempotent,
+	})
+	if err != nil {
+		return nil, failed(ctx, err)
+	}
+	if a.Status() != http.StatusOK {
+		defer a.Body().Close()
+		return nil, wire.DecodeError(a.Header(), a.Body(), result.UpstreamFailed, time.Now())
+	}
+	return a, nil
+}
+
+// failed gives a transport failure its result code.
+func failed(ctx context.Context, err error) error {
+	switch {
+	case !client.Sent(err):
+		return result.New(result.NoUpstream, "%w", err)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return result.New(result.TimedOut, "%w", err)
+	}
+	return result.New(result.UpstreamFailed, "%w", err)
+}
+
+// Call passes a call on to the plain service at addr. The error's code is
+// result.NoUpstream if provably nothing was sent, and result.Unknown if a
+// call that may not be repeated may have run.
+func (c *Client) Call(ctx context.Context, addr string, s ServiceCall) (*ServiceAnswer, error) {
+	h := s.Header.Clone()
+	if h == nil {
+		h = http.Header{}
+	}
+	if s.Key != "" {
+		h.Set("Idempotency-Key", string(s.Key))
+	}
+	a, err := c.http.Do(ctx, client.Exchange{
+		Method: s.Method, URL: "http://" + addr + s.Path, Header: h, Body: s.Body, Idempotent: s.Idempotent,
+	})
+	if err != nil {
+		return nil, callFailed(ctx, s, err)
+	}
+	defer a.Body().Close()
+	b, err := a.ReadAll(maxAnswer)
+	if err != nil {
+		return nil, callFailed(ctx, s, err)
+	}
+	return &ServiceAnswer{Status: a.Status(), Header: a.Header(), Body: b}, nil
+}
+
+func callFailed(ctx context.Context, s ServiceCall, err error) error {
+	if client.Sent(err) && !s.Idempotent {
+		return result.New(result.Unknown, "%w", err)
+	}
+	return failed(ctx, err)
+}
+
+// Generate asks the engine at addr for text. The stream must be closed.
+func (c *Client) Generate(ctx context.Context, addr string, g Generate) (*Stream, error) {
+	now := time.Now()
+	ctx, cancel := context.WithCancel(ctx)
+	a, err := c.post(ctx, addr, "/generate", encodeGenerate(g, now), c.headBy(now), !g.Once)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	s := &Stream{client: c, addr: addr, ask: g, ctx: ctx, cancel: cancel}
+	s.take(a)
+	return s, nil
+}
+
+var _ io.Closer = (*Stream)(nil)
