--- /dev/null
+++ b/io/protocol/operator/wire.go
@@ -0,0 +1,50 @@
+package operator
+
+// Change is the wire form of an operator's change.
+type Change struct {
+	// ID is unique to this change; a resend carries the same.
+	ID string `json:"id"`
+	// Kind is one of the kinds listed in docs/INTERFACES.md.
+	Kind string `json:"kind"`
+	// Name is the object's name: a class, model, adapter@version or daemon.
+	Name string `json:"name"`
+	// Expect is the version that the operator saw; 0 to create.
+	Expect uint64 `json:"expect"`
+	// Author is free text for the history.
+	Author string `json:"author,omitempty"`
+	// Target is the class target in milliseconds.
+	Target uint64 `json:"target,omitempty"`
+	// Model is the base model of an adapter.
+	Model string `json:"model,omitempty"`
+	// Loads is how many adapter loads a second the store allows.
+	Loads uint32 `json:"loads,omitempty"`
+	// Transit is how many loads the store carries at full speed at once.
+	Transit uint32 `json:"transit,omitempty"`
+}
+
+// Answer is the wire form of what became of a change.
+type Answer struct {
+	// Code is a result code; 0 is accepted.
+	Code int `json:"code"`
+	// Status is "accepted", "pending" or "refused".
+	Status string `json:"status"`
+	// Version is the object's version after the change, or its current one
+	// after a conflict.
+	Version uint64 `json:"version"`
+	// Index is the position of the change in the replicated log.
+	Index uint64 `json:"index,omitempty"`
+	// Detail explains a refusal.
+	Detail string `json:"detail,omitempty"`
+	// Advice tells what to do.
+	Advice string `json:"advice,omitempty"`
+}
+
+// Table is a list of objects, ready for print.
+type Table struct {
+	// Index is the log index that the rows were read at.
+	Index uint64 `json:"index"`
+	// Columns names the values of each row.
+	Columns []string `json:"columns"`
+	// Rows hold one value a column.
+	Rows [][]string `json:"rows"`
+}
