Replicated state with ledger and ownership, and its codec

Ruled out: copying Go maps on a change (86,000 adapters a change); sharded maps (order of iteration differs between replicas); a target or version kept per object from 1 (an object made anew would get an earlier version back); an Assign that names no revocation (a second copy in the log after a later Revoke would give a new owner without the wait).

--- /dev/null
+++ b/core/state/snapshot.go
@@ -0,0 +1,245 @@
+package state
+
+import (
+	"slices"
+	"time"
+
+	"papayaspoke/core/ident"
+	"papayaspoke/core/result"
+)
+
+// Quarantined is a digest in quarantine.
+type Quarantined struct {
+	Digest string
+	Until  time.Time
+}
+
+// Drained is a drained daemon.
+type Drained struct {
+	Name ident.Daemon
+	// Version is never 0.
+	Version uint64
+}
+
+// Witness is a daemon in the set of witnesses.
+type Witness struct {
+	Name ident.Daemon
+	// Version is that of the set when the daemon was added.
+	Version uint64
+}
+
+// Snapshot is the whole state as plain values, to be encoded. Every slice is
+// in the order of its keys; Records are in the order they were made.
+type Snapshot struct {
+	Index          uint64
+	Version        uint64
+	Classes        []Class
+	Models         []Model
+	Adapters       []Adapter
+	Store          Store
+	Drained        []Drained
+	Witnesses      []Witness
+	WitnessVersion uint64
+	Owners         []Ownership
+	Records        []Record
+	Sequence       uint64
+	Entries        []*Entry
+	Expired        time.Time
+	Quarantined    []Quarantined
+}
+
+// Export returns the whole state. It may be called on a View while the state
+// moves on.
+func (v *View) Export() Snapshot {
+	s := Snapshot{
+		Index:          v.index,
+		Version:        v.version,
+		Classes:        v.classes.Values(),
+		Models:         v.models.Values(),
+		Adapters:       v.adapters.Values(),
+		Store:          v.store,
+		WitnessVersion: v.witnessVersion,
+		Owners:         v.owners.Values(),
+		Records:        v.changes.Values(),
+		Sequence:       v.sequence,
+		Entries:        v.entries.Values(),
+		Expired:        v.expired,
+	}
+	for name, version := range v.drained.All() {
+		s.Drained = append(s.Drained, Drained{Name: name, Version: version})
+	}
+	for name, version := range v.witnesses.All() {
+		s.Witnesses = append(s.Witnesses, Witness{Name: name, Version: version})
+	}
+	for digest, until := range v.quarantined.All() {
+		s.Quarantined = append(s.Quarantined, Quarantined{Digest: digest, Until: until})
+	}
+	return s
+}
+
+// Import returns the state that s was exported from, or an error if no state
+// can have been.
+func Import(s Snapshot) (*State, error) {
+	st := New()
+	v := &st.v
+	v.index, v.version = s.Index, s.Version
+	v.store, v.witnessVersion = s.Store, s.WitnessVersion
+	v.sequence, v.expired = s.Sequence, s.Expired
+	v.loadCatalogue(s)
+	v.loadControl(s)
+	for _, e := range s.Entries {
+		if e == nil || v.entries.Has(e.Key) {
+			return nil, result.New(result.DiskDamaged, "snapshot has a ledger entry twice")
+		}
+		v.put(e)
+	}
+	if err := st.Check(); err != nil {
+		return nil, err
+	}
+	return st, nil
+}
+
+func (v *View) loadCatalogue(s Snapshot) {
+	for _, c := range s.Classes {
+		v.classes = v.classes.Put(c.Name, c)
+	}
+	for _, m := range s.Models {
+		v.models = v.models.Put(m.Name, m)
+	}
+	for _, a := range s.Adapters {
+		v.adapters = v.adapters.Put(a.Name, a)
+	}
+}
+
+func (v *View) loadControl(s Snapshot) {
+	for _, d := range s.Drained {
+		v.drained = v.drained.Put(d.Name, d.Version)
+	}
+	for _, w := range s.Witnesses {
+		v.witnesses = v.witnesses.Put(w.Name, w.Version)
+	}
+	for _, o := range s.Owners {
+		v.owners = v.owners.Put(o.Upstream, o)
+	}
+	seq := s.Sequence - uint64(len(s.Records))
+	for _, r := range s.Records {
+		seq++
+		v.changes = v.changes.Put(seq, r)
+		v.changeIDs = v.changeIDs.Put(r.Change.ID, seq)
+	}
+	for _, q := range s.Quarantined {
+		v.quarantined = v.quarantined.Put(q.Digest, q.Until)
+	}
+}
+
+// Check returns an error if an invariant does not hold.
+func (s *State) Check() error { return s.v.Check() }
+
+// Check returns an error if an invariant does not hold.
+func (v *View) Check() error {
+	if err := first(v.checkCatalogue(), v.checkVersions(), v.checkControl(), v.checkLedger()); err != nil {
+		return err
+	}
+	return nil
+}
+
+func damaged(format string, args ...any) *result.Error {
+	return result.New(result.DiskDamaged, format, args...)
+}
+
+func (v *View) checkCatalogue() *result.Error {
+	count := map[ident.Model]int{}
+	for name, a := range v.adapters.All() {
+		if !v.models.Has(a.Model) {
+			return damaged("adapter %q has model %q, which is unknown", name, a.Model)
+		}
+		count[a.Model]++
+	}
+	for name, m := range v.models.All() {
+		if m.Adapters != count[name] {
+			return damaged("model %q has %d adapters, not %d", name, count[name], m.Adapters)
+		}
+	}
+	for name, c := range v.classes.All() {
+		if c.Target.check() != nil {
+			return damaged("class %q has a target of %d ms", name, c.Target.ms)
+		}
+	}
+	return nil
+}
+
+// checkVersions checks that no object has a version that was not given yet.
+func (v *View) checkVersions() *result.Error {
+	newest := max(v.store.Version, v.witnessVersion)
+	for _, c := range v.classes.All() {
+		newest = max(newest, c.Version)
+	}
+	for _, m := range v.models.All() {
+		newest = max(newest, m.Version)
+	}
+	for _, a := range v.adapters.All() {
+		newest = max(newest, a.Version)
+	}
+	for _, n := range v.drained.All() {
+		newest = max(newest, n)
+	}
+	for _, n := range v.witnesses.All() {
+		newest = max(newest, n)
+	}
+	if newest > v.version {
+		return damaged("an object has version %d, but the newest is %d", newest, v.version)
+	}
+	return nil
+}
+
+func (v *View) checkControl() *result.Error {
+	for name, o := range v.owners.All() {
+		if uint64(o.Fence) > v.index || o.Revoked > v.index || o.Revoked != 0 && o.Revoked <= uint64(o.Fence) {
+			return damaged("upstream %q: fence %d, revoked %d at index %d", name, o.Fence, o.Revoked, v.index)
+		}
+	}
+	if v.changes.Len() != v.changeIDs.Len() || v.changes.Len() > MaxChanges {
+		return damaged("%d changes have %d change ids", v.changes.Len(), v.changeIDs.Len())
+	}
+	if uint64(v.changes.Len()) > v.sequence {
+		return damaged("%d changes, but the newest has number %d", v.changes.Len(), v.sequence)
+	}
+	if v.witnesses.Len() > MaxWitnesses || v.quarantined.Len() > MaxQuarantined {
+		return damaged("%d witnesses, %d quarantines", v.witnesses.Len(), v.quarantined.Len())
+	}
+	return nil
+}
+
+func (v *View) checkLedger() *result.Error {
+	bodies, running := 0, 0
+	for k, e := range v.entries.All() {
+		if err := v.checkEntry(k, e); err != nil {
+			return err
+		}
+		bodies += len(e.Answer.Body)
+		if e.Phase == Running {
+			running++
+		}
+	}
+	if bodies != v.bodies || running != v.running.Len() || v.entries.Len() != v.deadlines.Len() {
+		return damaged("ledger has %d bytes in %d entries, %d of them running; indexes say %d, %d, %d",
+			bodies, v.entries.Len(), running, v.bodies, v.deadlines.Len(), v.running.Len())
+	}
+	return nil
+}
+
+func (v *View) checkEntry(k EntryKey, e *Entry) *result.Error {
+	if e.Key != k || e.Phase < Running || e.Phase > Abandoned || e.Attempt == "" {
+		return damaged("ledger entry %q is invalid", k.Key)
+	}
+	if e.Phase == Abandoned && !slices.Contains(e.Lost, e.Attempt) {
+		return damaged("ledger entry %q is abandoned by nobody", k.Key)
+	}
+	if !e.Deadline.After(v.expired) {
+		return damaged("ledger entry %q has expired", k.Key)
+	}
+	if !v.deadlines.Has(due{at: e.Deadline.UnixNano(), key: k}) {
+		return damaged("ledger entry %q is not in the order of deadlines", k.Key)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/protocol/peer/statesnapshot.go
@@ -0,0 +1,223 @@
+package peer
+
+import (
+	"google.golang.org/protobuf/proto"
+	"papayaspoke/core/ident"
+	"papayaspoke/core/result"
+	"papayaspoke/core/state"
+	"papayaspoke/io/protocol/peer/peerpb"
+)
+
+// EncodeOutcome returns the bytes of an outcome.
+func EncodeOutcome(o state.Outcome) ([]byte, error) { return encode(outcomeToWire(o)) }
+
+// DecodeOutcome reads the bytes of an outcome.
+func DecodeOutcome(b []byte) (state.Outcome, error) {
+	p := &peerpb.Outcome{}
+	if err := proto.Unmarshal(b, p); err != nil {
+		return state.Outcome{}, result.New(result.Malformed, "outcome: %w", err)
+	}
+	return outcomeFromWire(p), nil
+}
+
+// EncodeSnapshot returns the bytes of a snapshot. Equal states have equal
+// bytes.
+func EncodeSnapshot(s state.Snapshot) ([]byte, error) {
+	p := &peerpb.StateSnapshot{
+		Index:          s.Index,
+		Version:        s.Version,
+		Classes:        convert(s.Classes, classToWire),
+		Models:         convert(s.Models, modelToWire),
+		Adapters:       convert(s.Adapters, adapterToWire),
+		Store:          storeToWire(s.Store),
+		WitnessVersion: s.WitnessVersion,
+		Owners:         convert(s.Owners, ownershipToWire),
+		Sequence:       s.Sequence,
+		Entries:        convert(s.Entries, entryToWire),
+		Expired:        timeToWire(s.Expired),
+	}
+	for _, d := range s.Drained {
+		p.Drained = append(p.Drained, &peerpb.VersionedDaemon{Name: string(d.Name), Version: d.Version})
+	}
+	for _, w := range s.Witnesses {
+		p.Witnesses = append(p.Witnesses, &peerpb.VersionedDaemon{Name: string(w.Name), Version: w.Version})
+	}
+	for _, q := range s.Quarantined {
+		p.Quarantined = append(p.Quarantined, &peerpb.QuarantineDigest{Digest: q.Digest, Until: timeToWire(q.Until)})
+	}
+	for _, r := range s.Records {
+		q, err := recordToWire(r)
+		if err != nil {
+			return nil, err
+		}
+		p.Records = append(p.Records, q)
+	}
+	return encode(p)
+}
+
+// DecodeSnapshot reads the bytes of a snapshot.
+func DecodeSnapshot(b []byte) (state.Snapshot, error) {
+	p := &peerpb.StateSnapshot{}
+	if err := proto.Unmarshal(b, p); err != nil {
+		return state.Snapshot{}, result.New(result.DiskDamaged, "snapshot: %w", err)
+	}
+	s := state.Snapshot{
+		Index:          p.GetIndex(),
+		Version:        p.GetVersion(),
+		Classes:        convert(p.GetClasses(), classFromWire),
+		Models:         convert(p.GetModels(), modelFromWire),
+		Adapters:       convert(p.GetAdapters(), adapterFromWire),
+		Store:          storeFromWire(p.GetStore()),
+		WitnessVersion: p.GetWitnessVersion(),
+		Owners:         convert(p.GetOwners(), ownershipFromWire),
+		Sequence:       p.GetSequence(),
+		Entries:        convert(p.GetEntries(), entryFromWire),
+		Expired:        timeFromWire(p.GetExpired()),
+	}
+	for _, d := range p.GetDrained() {
+		s.Drained = append(s.Drained, state.Drained{Name: ident.Daemon(d.GetName()), Version: d.GetVersion()})
+	}
+	for _, w := range p.GetWitnesses() {
+		s.Witnesses = append(s.Witnesses, state.Witness{Name: ident.Daemon(w.GetName()), Version: w.GetVersion()})
+	}
+	for _, q := range p.GetQuarantined() {
+		s.Quarantined = append(s.Quarantined, state.Quarantined{Digest: q.GetDigest(), Until: timeFromWire(q.GetUntil())})
+	}
+	for _, r := range p.GetRecords() {
+		q, err := recordFromWire(r)
+		if err != nil {
+			return state.Snapshot{}, err
+		}
+		s.Records = append(s.Records, q)
+	}
+	return s, nil
+}
+
+// convert maps each element; it returns nil for an empty slice.
+func convert[A, B any](in []A, f func(A) B) []B {
+	if len(in) == 0 {
+		return nil
+	}
+	out := make([]B, 0, len(in))
+	for _, a := range in {
+		out = append(out, f(a))
+	}
+	return out
+}
+
+func recordToWire(r state.Record) (*peerpb.ChangeRecord, error) {
+	c, err := changeToWire(r.Change)
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.ChangeRecord{Index: r.Index, Change: c, Outcome: outcomeToWire(r.Outcome)}, nil
+}
+
+func recordFromWire(p *peerpb.ChangeRecord) (state.Record, error) {
+	c, err := changeFromWire(p.GetChange())
+	if err != nil {
+		return state.Record{}, err
+	}
+	return state.Record{Index: p.GetIndex(), Change: c, Outcome: outcomeFromWire(p.GetOutcome())}, nil
+}
+
+func ownershipToWire(o state.Ownership) *peerpb.Ownership {
+	return &peerpb.Ownership{
+		Upstream:         string(o.Upstream),
+		Incarnation:      uint64(o.Incarnation),
+		Owner:            string(o.Owner),
+		OwnerIncarnation: uint64(o.OwnerIncarnation),
+		Fence:            uint64(o.Fence),
+		Revoked:          o.Revoked,
+	}
+}
+
+func ownershipFromWire(p *peerpb.Ownership) state.Ownership {
+	return state.Ownership{
+		Upstream:         ident.Upstream(p.GetUpstream()),
+		Incarnation:      ident.Incarnation(p.GetIncarnation()),
+		Owner:            ident.Daemon(p.GetOwner()),
+		OwnerIncarnation: ident.Incarnation(p.GetOwnerIncarnation()),
+		Fence:            ident.Fence(p.GetFence()),
+		Revoked:          p.GetRevoked(),
+	}
+}
+
+func answerToWire(a state.Answer) *peerpb.LedgerAnswer {
+	return &peerpb.LedgerAnswer{Status: int64(a.Status), Type: a.Type, Body: a.Body, Dropped: a.Dropped}
+}
+
+func answerFromWire(p *peerpb.LedgerAnswer) state.Answer {
+	a := state.Answer{Status: int(p.GetStatus()), Type: p.GetType(), Dropped: p.GetDropped()}
+	if len(p.GetBody()) > 0 {
+		a.Body = p.GetBody()
+	}
+	return a
+}
+
+func entryToWire(e *state.Entry) *peerpb.LedgerEntry {
+	return &peerpb.LedgerEntry{
+		Scope:            e.Key.Scope,
+		Key:              string(e.Key.Key),
+		Digest:           e.Digest,
+		Owner:            string(e.Owner),
+		OwnerIncarnation: uint64(e.OwnerIncarnation),
+		Attempt:          string(e.Attempt),
+		Deadline:         timeToWire(e.Deadline),
+		Phase:            uint32(e.Phase),
+		Answer:           answerToWire(e.Answer),
+		Lost:             convert(e.Lost, func(a ident.Attempt) string { return string(a) }),
+	}
+}
+
+func entryFromWire(p *peerpb.LedgerEntry) *state.Entry {
+	return &state.Entry{
+		Key:              state.EntryKey{Scope: p.GetScope(), Key: ident.Key(p.GetKey())},
+		Digest:           p.GetDigest(),
+		Owner:            ident.Daemon(p.GetOwner()),
+		OwnerIncarnation: ident.Incarnation(p.GetOwnerIncarnation()),
+		Attempt:          ident.Attempt(p.GetAttempt()),
+		Deadline:         timeFromWire(p.GetDeadline()),
+		Phase:            phaseFromWire(p.GetPhase()),
+		Answer:           answerFromWire(p.GetAnswer()),
+		Lost:             convert(p.GetLost(), func(s string) ident.Attempt { return ident.Attempt(s) }),
+	}
+}
+
+// phaseFromWire returns 0, which no entry has, for a number out of range.
+func phaseFromWire(n uint32) state.Phase {
+	if n > uint32(state.Abandoned) {
+		return 0
+	}
+	return state.Phase(n)
+}
+
+func outcomeToWire(o state.Outcome) *peerpb.Outcome {
+	p := &peerpb.Outcome{
+		Code:    uint32(o.Code),
+		Detail:  o.Detail,
+		Version: o.Version,
+		Fence:   uint64(o.Fence),
+		Granted: o.Granted,
+		Batch:   convert(o.Batch, outcomeToWire),
+	}
+	if o.Entry != nil {
+		p.Entry = entryToWire(o.Entry)
+	}
+	return p
+}
+
+func outcomeFromWire(p *peerpb.Outcome) state.Outcome {
+	o := state.Outcome{
+		Code:    result.Code(p.GetCode()),
+		Detail:  p.GetDetail(),
+		Version: p.GetVersion(),
+		Fence:   ident.Fence(p.GetFence()),
+		Granted: p.GetGranted(),
+		Batch:   convert(p.GetBatch(), outcomeFromWire),
+	}
+	if p.GetEntry() != nil {
+		o.Entry = entryFromWire(p.GetEntry())
+	}
+	return o
+}
