--- /dev/null
+++ b/io/daemon/proposals.go
@@ -0,0 +1,147 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"papayaspoke/core/ident"
+	"papayaspoke/core/result"
+	"papayaspoke/core/state"
+)
+
+const (
+	// visibleTimeout is how long the leader waits for a durable change to
+	// become visible before it answers "pending".
+	visibleTimeout = 3 * time.Second
+	// proposalTimeout is how long the leader waits for a commit.
+	proposalTimeout = 3 * time.Second
+)
+
+// answer is what became of a proposal.
+type answer struct {
+	// outcome is set if code is OK or Pending.
+	outcome state.Outcome
+	// index is where the command was committed, 0 if it was not.
+	index uint64
+	// code is OK, Pending, NoLeader if the command provably never enters the
+	// log, or Unknown.
+	code result.Code
+	// leader is whom to ask instead, if code is NoLeader.
+	leader ident.Daemon
+}
+
+// proposal is a command on its way through the log.
+type proposal struct {
+	// reply has room for the one answer.
+	reply chan answer
+	// visible is true if the answer waits for the visible quorum.
+	visible  bool
+	deadline time.Time
+	// index is 0 until the command is committed.
+	index   uint64
+	outcome state.Outcome
+	// applied is true once outcome is set.
+	applied bool
+}
+
+// proposals are the open proposals of a leader.
+type proposals struct {
+	last     uint64
+	byNumber map[uint64]*proposal
+	byIndex  map[uint64]*proposal
+}
+
+func newProposals() proposals {
+	return proposals{byNumber: make(map[uint64]*proposal), byIndex: make(map[uint64]*proposal)}
+}
+
+// add registers a proposal and returns its number.
+func (ps *proposals) add(p *proposal) uint64 {
+	ps.last++
+	ps.byNumber[ps.last] = p
+	return ps.last
+}
+
+// committed notes where a proposal was committed.
+func (ps *proposals) committed(number, index uint64) {
+	p := ps.byNumber[number]
+	if p == nil {
+		return
+	}
+	delete(ps.byNumber, number)
+	p.index = index
+	ps.byIndex[index] = p
+}
+
+// fail ends a proposal that is not committed.
+func (ps *proposals) fail(number uint64, a answer) {
+	if p := ps.byNumber[number]; p != nil {
+		delete(ps.byNumber, number)
+		p.reply <- a
+	}
+}
+
+// applied gives the outcome of the entry at index to whoever proposed it.
+func (ps *proposals) applied(index uint64, o state.Outcome) {
+	p := ps.byIndex[index]
+	if p == nil {
+		return
+	}
+	p.outcome, p.applied = o, true
+	if !p.visible {
+		ps.finish(p, result.OK)
+	}
+}
+
+// visible ends the proposals up to index.
+func (ps *proposals) visible(index uint64) {
+	for i, p := range ps.byIndex {
+		if i <= index && p.applied {
+			ps.finish(p, result.OK)
+		}
+	}
+}
+
+func (ps *proposals) finish(p *proposal, code result.Code) {
+	delete(ps.byIndex, p.index)
+	p.reply <- answer{outcome: p.outcome, index: p.index, code: code}
+}
+
+// expire ends the proposals whose deadline has passed.
+func (ps *proposals) expire(now time.Time) {
+	for n, p := range ps.byNumber {
+		if now.After(p.deadline) {
+			ps.fail(n, answer{code: result.Unknown})
+		}
+	}
+	for _, p := range ps.byIndex {
+		if !now.After(p.deadline) {
+			continue
+		}
+		code := result.Pending
+		if !p.applied {
+			code = result.Unknown
+		}
+		ps.finish(p, code)
+	}
+}
+
+// waitsVisible reports whether a command is answered only once it is in force
+// everywhere.
+func waitsVisible(cmd state.Command) bool {
+	switch cmd.(type) {
+	case state.Change, state.Revoke, state.Assign, state.Release:
+		return true
+	}
+	return false
+}
+
+// await returns the answer to a proposal, or Unknown if the context ends.
+func await(ctx context.Context, reply <-chan answer) answer {
+	select {
+	case a := <-reply:
+		return a
+	case <-ctx.Done():
+		return answer{code: result.Unknown}
+	}
+}
--- /dev/null
+++ b/io/daemon/witness.go
@@ -0,0 +1,143 @@
+package daemon
+
+import (
+	"time"
+
+	"papayaspoke/core/coordination/consensus"
+	"papayaspoke/core/coordination/entry"
+	"papayaspoke/core/coordination/witness"
+	"papayaspoke/core/ident"
+	"papayaspoke/core/state"
+	"papayaspoke/io/protocol/peer"
+)
+
+// stepWitness feeds one event to the witness and carries out its effects.
+func (c *control) stepWitness(now time.Time, ev witness.Event) {
+	for _, e := range c.witness.Step(now, ev) {
+		switch e := e.(type) {
+		case witness.Send:
+			c.send.witness(e.To, e.Request)
+		case witness.Reply:
+			c.replyWitness(e)
+		case witness.Apply:
+			c.apply(now, e.Entries)
+		case witness.Install:
+			c.install(now, e.Snapshot)
+		case witness.Visible:
+			c.proposals.visible(e.Index)
+			c.dirty = true
+		case witness.Fresh:
+			c.dirty = true
+		case witness.Stands:
+			c.log.Info("stands as a witness", "index", c.witness.Applied())
+		case witness.ReadWanted:
+			c.wantRead(now)
+		case witness.Superseded:
+			c.log.Info("superseded by a later process of the same name", "incarnation", uint64(e.By))
+			c.supersede()
+		}
+	}
+}
+
+func (c *control) replyWitness(r witness.Reply) {
+	ch := c.replies[r.Token]
+	delete(c.replies, r.Token)
+	if ch == nil {
+		return
+	}
+	if r.WithSnapshot {
+		data, err := encodeState(c.state)
+		if err != nil {
+			c.log.Error(err, "snapshot for a witness")
+			return
+		}
+		r.Response.Snapshot = witness.Snapshot{Index: c.witness.Applied(), Term: c.term, Data: data}
+	}
+	ch <- r.Response
+}
+
+// apply carries out committed entries in order.
+func (c *control) apply(now time.Time, entries []entry.Entry) {
+	for _, e := range entries {
+		c.applyOne(e)
+	}
+	c.applied(now, entries[len(entries)-1].Index)
+}
+
+func (c *control) applyOne(e entry.Entry) {
+	c.term = e.Term
+	var cmd state.Command
+	if e.Kind == entry.Command {
+		var err error
+		if cmd, err = peer.DecodeCommand(e.Data); err != nil {
+			// A later version's command: applying nothing would let states
+			// drift apart, so the daemon stops taking part.
+			c.log.Error(err, "committed command can't be read", "index", e.Index)
+			c.supersede()
+			return
+		}
+	}
+	before, _ := c.state.View().Witnesses()
+	o := c.state.Apply(e.Index, cmd)
+	c.noteWitnesses(before, e.Index)
+	c.proposals.applied(e.Index, o)
+}
+
+// noteWitnesses keeps the old set beside the new one until the change is
+// visible.
+func (c *control) noteWitnesses(before []ident.Daemon, index uint64) {
+	after, version := c.state.View().Witnesses()
+	if version == c.witnessVersion {
+		return
+	}
+	c.witnessVersion = version
+	c.witnesses = witness.NewWitnesses(before, after, index)
+}
+
+func (c *control) install(now time.Time, s witness.Snapshot) {
+	st, err := decodeState(s.Data)
+	if err != nil {
+		c.log.Error(err, "snapshot can't be read", "index", s.Index)
+		c.supersede()
+		return
+	}
+	c.state, c.term = st, s.Term
+	set, version := st.View().Witnesses()
+	c.witnessVersion = version
+	c.witnesses = witness.NewWitnesses(nil, set, s.Index)
+	c.applied(now, s.Index)
+}
+
+func (c *control) applied(now time.Time, index uint64) {
+	c.dirty = true
+	c.stepWitness(now, witness.Applied{Index: index, Witnesses: c.witnesses})
+}
+
+// wantRead asks for an index that covers everything committed so far: from
+// the own consensus node, or from whichever voter leads.
+func (c *control) wantRead(now time.Time) {
+	if c.voter == nil {
+		c.send.read()
+		return
+	}
+	if c.voter.readAsked {
+		return
+	}
+	c.voter.readAsked = true
+	c.proposals.last++
+	c.stepVoter(now, consensus.Read(c.proposals.last))
+}
+
+// encodeState returns the snapshot of a state.
+func encodeState(s *state.State) ([]byte, error) { return peer.EncodeSnapshot(s.View().Export()) }
+
+func decodeState(data []byte) (*state.State, error) {
+	if len(data) == 0 {
+		return state.New(), nil
+	}
+	snap, err := peer.DecodeSnapshot(data)
+	if err != nil {
+		return nil, err
+	}
+	return state.Import(snap)
+}
--- /dev/null
+++ b/io/logs/logs.go
@@ -0,0 +1,29 @@
+// Package logs makes the process's logger: logr, JSON lines, one event a
+// line.
+package logs
+
+import (
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+)
+
+const timestampFormat = "2006-01-02T15:04:05.000Z07:00"
+
+// New returns a logger that writes JSON lines to w, up to verbosity level.
+func New(w io.Writer, level int) logr.Logger {
+	var mu sync.Mutex
+	write := func(line string) {
+		mu.Lock()
+		defer mu.Unlock()
+		fmt.Fprintln(w, line)
+	}
+	return funcr.NewJSON(write, funcr.Options{
+		LogTimestamp:    true,
+		TimestampFormat: timestampFormat,
+		Verbosity:       level,
+	})
+}
--- /dev/null
+++ b/io/protocol/scrape/scrape.go
@@ -0,0 +1,48 @@
+// Package scrape offers the process's metrics to whoever scrapes them, by the
+// Prometheus text format over HTTP. Counters and gauges are kept by tally.
+package scrape
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	tally "github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+const reportInterval = time.Second
+
+// Metrics is the root of the process's metrics.
+type Metrics struct {
+	scope   tally.Scope
+	closer  io.Closer
+	handler http.Handler
+}
+
+// New returns metrics whose names start with "papayaspoke_".
+func New(tags map[string]string) *Metrics {
+	r := prometheus.NewReporter(prometheus.Options{OnRegisterError: func(error) {}})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "papayaspoke",
+		Tags:           tags,
+		CachedReporter: r,
+		Separator:      prometheus.DefaultSeparator,
+	}, reportInterval)
+	return &Metrics{scope: scope, closer: closer, handler: r.HTTPHandler()}
+}
+
+// Scope returns the scope that metrics are made in.
+func (m *Metrics) Scope() tally.Scope { return m.scope }
+
+// Handler serves the metrics page.
+func (m *Metrics) Handler() http.Handler { return m.handler }
+
+// Close reports a last time and stops.
+func (m *Metrics) Close() error {
+	if err := m.closer.Close(); err != nil {
+		return fmt.Errorf("close metrics: %w", err)
+	}
+	return nil
+}
