Owners yield; an expired key is no longer called not run

Cause: a planned hand-over waited out the freshness of an owner that had stopped by itself; KeyExpired and a ledger that cannot be reached had no honest code (the entry of an expired key is forgotten, so it may have run). Ruled out: NoLeader for a key whose ledger entry cannot be read, as its row promises not run. Change: command Yield, code 307 unconfirmed, KeyExpired is not 'not run' any more; a deadline that passed before the proposal is code 202.

--- a/core/result/result.go
+++ b/core/result/result.go
@@ -48,6 +48,7 @@
 	StreamCut      Code = 304
 	TimedOut       Code = 305
 	WrongAnswer    Code = 306
+	Unconfirmed    Code = 307
 
 	VersionConflict Code = 401
 	Pending         Code = 402
--- a/core/result/table.go
+++ b/core/result/table.go
@@ -12,7 +12,7 @@
 	{WrongToken, "token", "token is missing or wrong", "Give the operators' token.", 401, true, false},
 	{KeyMissing, "nokey", "Idempotency-Key is missing", "Non-idempotent work needs a key.", 400, true, false},
 	{KeyReused, "reused", "Idempotency-Key was used with another body", "Use a new key for new work.", 422, true, false},
-	{KeyExpired, "expired", "deadline of the key has passed", "Use a new key if the work is still wanted.", 410, true, false},
+	{KeyExpired, "expired", "deadline of the key has passed", "It may have run before; look at the service's own record.", 410, false, false},
 	{DeadlineMissing, "nodeadline", "deadline is missing", "Non-idempotent work needs a deadline.", 400, true, false},
 	{Quarantined, "quarantined", "request crashes upstreams and is quarantined", "Do not resend it; tell the operators.", 422, true, false},
 	{NotFound, "path", "no such path", "See docs/INTERFACES.md.", 404, true, false},
@@ -35,6 +35,7 @@
 	{StreamCut, "cut", "answer was cut", "Idempotent work may be sent again.", 502, false, true},
 	{TimedOut, "timeout", "deadline passed", "Idempotent work may be sent again.", 504, false, true},
 	{WrongAnswer, "mismatch", "answer did not match the request", "Idempotent work may be sent again.", 502, false, true},
+	{Unconfirmed, "unconfirmed", "ledger cannot be reached", "Send it again with the same key, also to another address.", 503, false, true},
 
 	{VersionConflict, "conflict", "version has moved on", "Read the current version and decide again.", 409, true, false},
 	{Pending, "pending", "change is durable but not yet in force everywhere", "Send it again with the same change id.", 202, false, true},
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -7,7 +7,7 @@
 )
 
 // Command is one of the types that [State.Apply] takes: Change, Assign,
-// Revoke, Release, Begin, Finish, Abandon, MarkUnknown, Orphan, Expire,
+// Revoke, Yield, Release, Begin, Finish, Abandon, MarkUnknown, Orphan, Expire,
 // Quarantine or Batch.
 type Command interface {
 	apply(s *State) Outcome
@@ -55,6 +55,14 @@
 	Fence ident.Fence
 }
 
+// Yield ends an ownership on behalf of the owner itself, which sends nothing
+// more at this fencing number. It may follow a Revoke of the same ownership.
+type Yield struct {
+	Upstream ident.Upstream
+	// Fence is the fencing number of the ownership that is meant.
+	Fence ident.Fence
+}
+
 // Release removes the record of an upstream whose last ownership was revoked
 // and waited out.
 type Release struct {
--- a/core/state/ledger.go
+++ b/core/state/ledger.go
@@ -208,9 +208,12 @@
 }
 
 func (v *View) admit(c Begin) *result.Error {
-	if !c.Deadline.After(v.expired) || !c.Deadline.After(c.At) {
+	if !c.Deadline.After(v.expired) {
 		return result.New(result.KeyExpired, "key %q", c.Key)
 	}
+	if !c.Deadline.After(c.At) {
+		return result.New(result.DeadlineHopeless, "deadline of key %q has passed", c.Key)
+	}
 	if c.Deadline.After(c.At.Add(MaxHorizon)) {
 		return result.New(result.DeadlineTooFar, "deadline may be at most %v away", MaxHorizon)
 	}
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -194,7 +194,7 @@
 
 func (v *View) checkControl() *result.Error {
 	for name, o := range v.owners.All() {
-		if uint64(o.Fence) > v.index || o.Revoked > v.index || o.Revoked != 0 && o.Revoked <= uint64(o.Fence) {
+		if uint64(o.Fence) > v.index || o.Revoked > v.index || o.Revoked != 0 && o.Revoked <= uint64(o.Fence) || o.Yielded && o.Owned() {
 			return damaged("upstream %q: fence %d, revoked %d at index %d", name, o.Fence, o.Revoked, v.index)
 		}
 	}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -162,6 +162,17 @@
 	return Outcome{Fence: c.Fence}
 }
 
+func (c Yield) apply(s *State) Outcome {
+	out := Revoke(c).apply(s)
+	if out.Code != result.OK {
+		return out
+	}
+	o, _ := s.v.owners.Get(c.Upstream)
+	o.Yielded = true
+	s.v.owners = s.v.owners.Put(c.Upstream, o)
+	return out
+}
+
 func (c Release) apply(s *State) Outcome {
 	old, ok := s.v.owners.Get(c.Upstream)
 	if !ok {
--- a/core/state/view.go
+++ b/core/state/view.go
@@ -69,6 +69,9 @@
 	// Revoked is the index of the Revoke, 0 while the owner owns; it is larger
 	// than Fence.
 	Revoked uint64
+	// Yielded is true if the owner itself said that it sends nothing more. It
+	// is false while Revoked is 0.
+	Yielded bool
 }
 
 // Owned reports whether the ownership is in force.
--- a/io/protocol/peer/statecommand.go
+++ b/io/protocol/peer/statecommand.go
@@ -67,6 +67,11 @@
 			Upstream: string(c.Upstream),
 			Fence:    uint64(c.Fence),
 		}}}, nil
+	case state.Yield:
+		return &peerpb.Command{Kind: &peerpb.Command_Yield{Yield: &peerpb.Yield{
+			Upstream: string(c.Upstream),
+			Fence:    uint64(c.Fence),
+		}}}, nil
 	case state.Release:
 		return &peerpb.Command{Kind: &peerpb.Command_Release{Release: &peerpb.Release{
 			Upstream: string(c.Upstream),
@@ -171,6 +176,11 @@
 			Upstream: ident.Upstream(k.Revoke.GetUpstream()),
 			Fence:    ident.Fence(k.Revoke.GetFence()),
 		}, nil
+	case *peerpb.Command_Yield:
+		return state.Yield{
+			Upstream: ident.Upstream(k.Yield.GetUpstream()),
+			Fence:    ident.Fence(k.Yield.GetFence()),
+		}, nil
 	case *peerpb.Command_Release:
 		return state.Release{
 			Upstream: ident.Upstream(k.Release.GetUpstream()),
--- a/io/protocol/peer/statesnapshot.go
+++ b/io/protocol/peer/statesnapshot.go
@@ -129,6 +129,7 @@
 		OwnerIncarnation: uint64(o.OwnerIncarnation),
 		Fence:            uint64(o.Fence),
 		Revoked:          o.Revoked,
+		Yielded:          o.Yielded,
 	}
 }
 
@@ -140,6 +141,7 @@
 		OwnerIncarnation: ident.Incarnation(p.GetOwnerIncarnation()),
 		Fence:            ident.Fence(p.GetFence()),
 		Revoked:          p.GetRevoked(),
+		Yielded:          p.GetYielded(),
 	}
 }
 
