--- a/core/state/validate.go
+++ b/core/state/validate.go
@@ -54,6 +54,9 @@
 // Milliseconds returns the target in milliseconds.
 func (t Target) Milliseconds() int64 { return t.ms }
 
+// Equal reports whether two targets are the same.
+func (t Target) Equal(o Target) bool { return t == o }
+
 // Deadline returns when the answer to a request that arrived then is due.
 func (t Target) Deadline(arrival time.Time) time.Time {
 	return arrival.Add(time.Duration(t.ms) * time.Millisecond)
