--- /dev/null
+++ b/io/daemon/infer.go
@@ -0,0 +1,314 @@
+package daemon
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"time"
+
+	"papayaspoke/core/coordination/dispatch"
+	"papayaspoke/core/coordination/dispatch/quarantine"
+	"papayaspoke/core/coordination/dispatch/routing"
+	"papayaspoke/core/ident"
+	"papayaspoke/core/result"
+	"papayaspoke/io/protocol/caller"
+	"papayaspoke/io/protocol/upstream"
+)
+
+const (
+	// maxTries is how many owners one request is offered to.
+	maxTries = 4
+	// refusalPause is given as Retry-After where nothing better is known.
+	refusalPause = time.Second
+	// defaultTokens bounds an answer if the caller does not.
+	defaultTokens = 512
+)
+
+// infer serves a request for text, here or through the owner of a replica.
+func (d *Daemon) infer(ctx context.Context, x caller.Infer) (*caller.Answer, error) {
+	r, err := d.accept(&x)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithDeadline(ctx, d.cutoff(r))
+	a, err := d.offer(ctx, x, r)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return a.WithEnd(cancel), nil
+}
+
+// cutoff is when an answer that has not ended is given up. A request whose
+// target has passed still runs on for as long again: late is better than cut.
+func (d *Daemon) cutoff(r dispatch.Request) time.Time {
+	return r.Deadline.Add(max(r.Deadline.Sub(r.Arrived), minOverrun))
+}
+
+// minOverrun is the least time past its target that a request may take.
+const minOverrun = 30 * time.Second
+
+// accept checks a request against the configuration in force and turns the
+// target of its class into a deadline.
+func (d *Daemon) accept(x *caller.Infer) (dispatch.Request, error) {
+	v := d.view.Load()
+	if err := v.fresh(d.clock()); err != nil {
+		return dispatch.Request{}, err
+	}
+	class, ok := v.state.Class(x.Class)
+	if !ok {
+		return dispatch.Request{}, result.New(result.UnknownClass, "class %q", x.Class)
+	}
+	if err := d.resolveModel(v.state, x); err != nil {
+		return dispatch.Request{}, err
+	}
+	deadline := class.Target.Deadline(x.Arrival)
+	if !x.Deadline.IsZero() && x.Deadline.Before(deadline) {
+		deadline = x.Deadline
+	}
+	x.Deadline = deadline
+	if x.MaxTokens <= 0 {
+		x.MaxTokens = defaultTokens
+	}
+	return dispatch.Request{
+		ID: x.ID, Class: x.Class, Model: x.Model, Adapter: x.Adapter,
+		Arrived: x.Arrival, Deadline: deadline,
+		Digest: digestOf(x), Prefix: x.Prompt.HeadDigest(),
+		Idempotent: x.Key == "",
+	}, nil
+}
+
+// resolveModel fills in the base model of the adapter and refuses names that
+// the catalogue does not have.
+func (d *Daemon) resolveModel(st stateView, x *caller.Infer) error {
+	if x.Adapter.IsZero() {
+		if _, ok := st.Model(x.Model); !ok {
+			return result.New(result.UnknownModel, "model %q", x.Model)
+		}
+		return nil
+	}
+	a, ok := st.Adapter(x.Adapter)
+	if !ok {
+		return result.New(result.UnknownAdapter, "adapter %s", x.Adapter)
+	}
+	if x.Model != "" && x.Model != a.Model {
+		return result.New(result.UnknownModel, "adapter %s belongs to model %q, not %q", x.Adapter, a.Model, x.Model)
+	}
+	x.Model = a.Model
+	return nil
+}
+
+func digestOf(x *caller.Infer) quarantine.Digest {
+	return sha256.Sum256([]byte(x.Adapter.String() + "\x00" + x.Prompt.Text()))
+}
+
+// offer gives the request to one owner after the other until one takes it.
+// Only refusals that say "not run", and failures that may be repeated, go on
+// to the next.
+func (d *Daemon) offer(ctx context.Context, x caller.Infer, r dispatch.Request) (*caller.Answer, error) {
+	if x.Hop != "" {
+		return d.serve(ctx, x, r)
+	}
+	var tried []ident.Upstream
+	for try := 1; ; try++ {
+		c, err := d.route(ctx, r, tried)
+		if err != nil {
+			return nil, err
+		}
+		r.Upstream = c.Upstream
+		a, err := d.offerTo(ctx, c.Owner, x, r)
+		if err == nil || try == maxTries || ctx.Err() != nil || !passesOn(err) {
+			return a, err
+		}
+		r.Retried = r.Retried || !result.Lookup(result.CodeOf(err)).NotRun
+		tried = append(tried, c.Upstream)
+	}
+}
+
+func (d *Daemon) offerTo(ctx context.Context, owner ident.Daemon, x caller.Infer, r dispatch.Request) (*caller.Answer, error) {
+	if owner == d.self {
+		return d.serve(ctx, x, r)
+	}
+	info, ok := d.view.Load().daemons[owner]
+	if !ok {
+		return nil, result.New(result.OwnerUnreachable, "daemon %s is not known", owner)
+	}
+	return d.forward.Infer(ctx, info.peer, x)
+}
+
+// passesOn reports whether another owner may be tried after err.
+func passesOn(err error) bool {
+	var again retryError
+	if errors.As(err, &again) {
+		return true
+	}
+	switch result.CodeOf(err) {
+	case result.NoUpstream, result.Draining, result.OwnerUnreachable, result.NotFresh:
+		return true
+	}
+	return false
+}
+
+// retryError is a failure that the dispatcher allows to be sent to another
+// owner.
+type retryError struct{ cause error }
+
+func (e retryError) Error() string { return e.cause.Error() }
+func (e retryError) Unwrap() error { return e.cause }
+
+func (d *Daemon) route(ctx context.Context, r dispatch.Request, tried []ident.Upstream) (routing.Choice, error) {
+	var c routing.Choice
+	var ok bool
+	err := d.ctl.call(ctx, func(time.Time) {
+		c, ok = d.ctl.directory.Route(routing.Query{Model: r.Model, Adapter: r.Adapter, DataCentre: d.dataCentre, Exclude: tried})
+		if ok {
+			d.ctl.directory.Sent(c.Upstream, r.Adapter)
+		}
+	})
+	if err != nil {
+		return c, result.New(result.TimedOut, "no decision in time: %w", err)
+	}
+	if !ok {
+		return c, result.New(result.NoUpstream, "no replica of model %q takes new work", r.Model).WithRetryAfter(d.clock().Add(refusalPause))
+	}
+	return c, nil
+}
+
+// decision is what the dispatcher wants done with a waiting request.
+type decision struct {
+	send   dispatch.Send
+	isSend bool
+	err    error
+}
+
+// serve runs a request on a replica that this daemon owns.
+func (d *Daemon) serve(ctx context.Context, x caller.Infer, r dispatch.Request) (*caller.Answer, error) {
+	decisions := make(chan decision, 4)
+	if !d.ctl.post(func(now time.Time) { d.ctl.arrive(now, r, decisions) }) {
+		return nil, result.New(result.Draining, "the daemon stops")
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			d.ctl.post(func(now time.Time) { d.ctl.stepDispatch(now, dispatch.Cancelled{Request: r.ID}) })
+			return nil, result.New(result.TimedOut, "%w", context.Cause(ctx))
+		case dec := <-decisions:
+			if !dec.isSend {
+				return nil, dec.err
+			}
+			if a, ok := d.run(ctx, x, r, dec.send); ok {
+				return a, nil
+			}
+		}
+	}
+}
+
+// run makes one attempt. It returns false if the attempt ended before a byte
+// of the answer was delivered; the dispatcher then decides anew.
+func (d *Daemon) run(ctx context.Context, x caller.Infer, r dispatch.Request, s dispatch.Send) (*caller.Answer, bool) {
+	finish := func(err error, delivered bool) {
+		out := d.outcomeOf(s.Upstream, s.Incarnation, err)
+		d.ctl.post(func(now time.Time) {
+			d.ctl.stepDispatch(now, dispatch.Finished{Request: r.ID, Outcome: out, Delivered: delivered})
+		})
+	}
+	stream, err := d.generate(ctx, x, r, s)
+	if err != nil {
+		finish(err, false)
+		return nil, false
+	}
+	first, err := stream.Next()
+	if err != nil && !errors.Is(err, io.EOF) {
+		_ = stream.Close()
+		finish(err, false)
+		return nil, false
+	}
+	d.ctl.post(func(now time.Time) { d.ctl.stepDispatch(now, dispatch.Started{Request: r.ID}) })
+	p := &pieces{stream: stream, first: first, err: err, finish: finish}
+	return caller.NewAnswer(x.Adapter, x.Model, s.Upstream, p.next, p.close), true
+}
+
+func (d *Daemon) generate(ctx context.Context, x caller.Infer, r dispatch.Request, s dispatch.Send) (*upstream.Stream, error) {
+	v := d.view.Load()
+	info, ok := v.upstreams[s.Upstream]
+	if !ok || info.incarnation != s.Incarnation {
+		return nil, result.New(result.NoUpstream, "upstream %s is gone", s.Upstream)
+	}
+	if err := d.guard(v, s.Upstream, s.Fence, d.cutoff(r)); err != nil {
+		return nil, err
+	}
+	return d.upstreams.Generate(ctx, info.address, upstream.Generate{
+		Request: x.ID, Model: x.Model, Adapter: s.Adapter, Prompt: x.Prompt, MaxTokens: x.MaxTokens,
+		Fence: s.Fence, Incarnation: s.Incarnation, Deadline: d.cutoff(r),
+		Once: !r.Idempotent, Resumes: info.resumes,
+	})
+}
+
+// pieces hands on a stream whose first piece has been read, and reports its
+// end once.
+type pieces struct {
+	stream *upstream.Stream
+	first  string
+	// err is the error that came with the first piece, or nil.
+	err    error
+	begun  bool
+	ended  bool
+	finish func(err error, delivered bool)
+}
+
+func (p *pieces) next() (string, error) {
+	if !p.begun {
+		p.begun = true
+		if p.err == nil {
+			return p.first, nil
+		}
+		p.end(p.err)
+		return "", p.err
+	}
+	text, err := p.stream.Next()
+	if err != nil {
+		p.end(err)
+	}
+	return text, err
+}
+
+// close gives up the rest. The engine has been told to cancel, so the request
+// has ended there as far as this daemon can know.
+func (p *pieces) close() {
+	_ = p.stream.Close()
+	p.end(result.New(result.StreamCut, "the caller is gone"))
+}
+
+func (p *pieces) end(err error) {
+	if p.ended {
+		return
+	}
+	p.ended = true
+	if errors.Is(err, io.EOF) {
+		err = nil
+	}
+	p.finish(err, true)
+}
+
+// outcomeOf tells the dispatcher how an attempt ended. Whether the upstream
+// has crashed is decided by a new connection, since silence is not death.
+func (d *Daemon) outcomeOf(name ident.Upstream, inc ident.Incarnation, err error) dispatch.Outcome {
+	if err == nil {
+		return dispatch.Done
+	}
+	code := result.CodeOf(err)
+	switch {
+	case code == result.NoUpstream, code == result.NotFresh:
+		return dispatch.NotSent
+	case code == result.WrongAnswer:
+		return dispatch.WrongAnswer
+	case result.Lookup(code).NotRun:
+		return dispatch.Refused
+	}
+	info, ok := d.view.Load().upstreams[name]
+	if !ok || info.incarnation != inc || !d.dials(info.address) {
+		return dispatch.Crashed
+	}
+	return dispatch.Cut
+}
