--- /dev/null
+++ b/io/daemon/permits.go
@@ -0,0 +1,142 @@
+package daemon
+
+import (
+	"time"
+
+	"papayaspoke/core/coordination/dispatch"
+	"papayaspoke/core/coordination/dispatch/budget"
+	"papayaspoke/core/ident"
+	"papayaspoke/core/state"
+)
+
+const (
+	// askInterval is how often an owner with wants asks again.
+	askInterval = 60 * time.Millisecond
+	// idleAskInterval is how often an owner without wants shows that it
+	// lives, so that its share is not kept back.
+	idleAskInterval = 500 * time.Millisecond
+	// defaultLoads and defaultTransit are used until operators state what the
+	// store allows.
+	defaultLoads   = 1
+	defaultTransit = 1
+)
+
+// permits is an owner's side of the load budget, and the holder's while this
+// daemon leads.
+type permits struct {
+	ask      budget.Ask
+	released []budget.PermitID
+	nextAsk  time.Time
+	// heard is when a holder last answered; lost is true once that is too
+	// long ago.
+	heard time.Time
+	lost  bool
+	// asking is true while a question is under way.
+	asking bool
+
+	// holder is nil unless this daemon leads.
+	holder *budget.Holder
+	// outbox holds permits granted to other daemons since their last
+	// question.
+	outbox map[ident.Daemon][]budget.Permit
+}
+
+// limitsOf returns what the store allows according to the state.
+func limitsOf(v *state.View) budget.Limits {
+	s := v.Store()
+	if s.Version == 0 {
+		return budget.Limits{PerSecond: defaultLoads, InTransit: defaultTransit}
+	}
+	return budget.Limits{PerSecond: max(1, int(s.Loads/1000)), InTransit: int(s.Transit)}
+}
+
+// askPermits sends the newest wants to the holder.
+func (c *control) askPermits(now time.Time) {
+	p := &c.permits
+	if p.asking {
+		return
+	}
+	p.nextAsk = now.Add(askInterval)
+	if len(p.ask.Wants) == 0 {
+		p.nextAsk = now.Add(idleAskInterval)
+	}
+	p.ask.Owner = c.self
+	released := p.released
+	p.released = nil
+	if p.holder != nil {
+		c.permitted(now, now, c.holderAsk(now, p.ask, released))
+		return
+	}
+	if c.leader == "" || c.leader == c.self {
+		p.released = released
+		return
+	}
+	p.asking = true
+	c.send.permits(c.leader, p.ask, released)
+}
+
+// holderAsk serves a question at the holder and returns the permits of the
+// owner that asks.
+func (c *control) holderAsk(now time.Time, a budget.Ask, released []budget.PermitID) []budget.Permit {
+	h := c.permits.holder
+	for _, id := range released {
+		c.deliver(h.Done(now, id))
+	}
+	c.deliver(h.Ask(now, a))
+	out := c.permits.outbox[a.Owner]
+	delete(c.permits.outbox, a.Owner)
+	return out
+}
+
+func (c *control) deliver(ps []budget.Permit) {
+	for _, p := range ps {
+		c.permits.outbox[p.Owner] = append(c.permits.outbox[p.Owner], p)
+	}
+}
+
+// permitted brings the holder's answer to a question sent at the time given.
+func (c *control) permitted(now, sent time.Time, ps []budget.Permit) {
+	p := &c.permits
+	p.heard = now
+	if p.lost {
+		p.lost = false
+		c.stepDispatch(now, dispatch.BudgetFound{})
+	}
+	for i := range ps {
+		ps[i].StartBy = sent.Add(budget.StartWithin)
+	}
+	if len(ps) > 0 {
+		c.stepDispatch(now, dispatch.Granted{Permits: ps})
+	}
+}
+
+// tickPermits asks again where that is due and falls back to the fixed share
+// when no holder answers.
+func (c *control) tickPermits(now time.Time) {
+	p := &c.permits
+	if p.holder != nil {
+		c.deliver(p.holder.Tick(now))
+	}
+	if !now.Before(p.nextAsk) {
+		c.askPermits(now)
+	}
+	if p.lost || now.Before(p.heard.Add(budget.FallbackAfter)) {
+		return
+	}
+	p.lost = true
+	share := budget.ShareOf(c.self, c.owners(), limitsOf(c.state.View()))
+	c.log.Info("load budget out of reach, using the fixed share", "persecond", share.PerSecond)
+	c.stepDispatch(now, dispatch.BudgetLost{Share: share})
+}
+
+// resetHolder begins or ends this daemon's time as holder of the budget.
+func (c *control) resetHolder(now time.Time, leads bool, term uint64) {
+	p := &c.permits
+	p.asking = false
+	p.holder, p.outbox = nil, nil
+	if !leads {
+		return
+	}
+	p.holder = budget.NewHolder(now, limitsOf(c.state.View()), c.owners(), budget.PermitID(term<<32))
+	p.outbox = make(map[ident.Daemon][]budget.Permit)
+}
--- /dev/null
+++ b/io/protocol/peer/budget.go
@@ -0,0 +1,66 @@
+package peer
+
+import (
+	"time"
+
+	"papayaspoke/core/coordination/dispatch/budget"
+	"papayaspoke/core/ident"
+	"papayaspoke/io/protocol/peer/peerpb"
+)
+
+// Times travel as milliseconds from now, since the clocks of daemons differ.
+
+func permitsRequestToWire(a budget.Ask, released []budget.PermitID, now time.Time) *peerpb.PermitsRequest {
+	out := &peerpb.PermitsRequest{Owner: string(a.Owner), Fallback: a.Fallback, Loading: int64(a.Loading)}
+	for _, w := range a.Wants {
+		out.Wants = append(out.Wants, &peerpb.Want{
+			Upstream: string(w.Upstream), Adapter: w.Adapter.Name, Version: w.Adapter.Version,
+			Saves: w.Saves, DeadlineMs: w.Deadline.Sub(now).Milliseconds(),
+		})
+	}
+	for _, id := range released {
+		out.Released = append(out.Released, uint64(id))
+	}
+	return out
+}
+
+func permitsRequestFromWire(r *peerpb.PermitsRequest) (budget.Ask, []budget.PermitID) {
+	now := time.Now()
+	a := budget.Ask{Owner: ident.Daemon(r.GetOwner()), Fallback: r.GetFallback(), Loading: int(r.GetLoading())}
+	for _, w := range r.GetWants() {
+		a.Wants = append(a.Wants, budget.Want{
+			Upstream: ident.Upstream(w.GetUpstream()),
+			Adapter:  ident.Adapter{Name: w.GetAdapter(), Version: w.GetVersion()},
+			Saves:    w.GetSaves(),
+			Deadline: now.Add(time.Duration(w.GetDeadlineMs()) * time.Millisecond),
+		})
+	}
+	var released []budget.PermitID
+	for _, id := range r.GetReleased() {
+		released = append(released, budget.PermitID(id))
+	}
+	return a, released
+}
+
+// permitsResponseToWire leaves out when a permit has to be used: the owner
+// counts that from when it asked.
+func permitsResponseToWire(ps []budget.Permit, holder bool) *peerpb.PermitsResponse {
+	out := &peerpb.PermitsResponse{Holder: holder}
+	for _, p := range ps {
+		out.Permits = append(out.Permits, &peerpb.Permit{
+			Id: uint64(p.ID), Upstream: string(p.Upstream), Adapter: p.Adapter.Name, Version: p.Adapter.Version,
+		})
+	}
+	return out
+}
+
+func permitsResponseFromWire(r *peerpb.PermitsResponse, owner ident.Daemon) []budget.Permit {
+	var out []budget.Permit
+	for _, p := range r.GetPermits() {
+		out = append(out, budget.Permit{
+			ID: budget.PermitID(p.GetId()), Owner: owner, Upstream: ident.Upstream(p.GetUpstream()),
+			Adapter: ident.Adapter{Name: p.GetAdapter(), Version: p.GetVersion()},
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/io/protocol/peer/client.go
@@ -0,0 +1,101 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"papayaspoke/core/coordination/consensus"
+	"papayaspoke/core/coordination/dispatch/budget"
+	"papayaspoke/core/coordination/membership"
+	"papayaspoke/core/coordination/witness"
+	"papayaspoke/core/ident"
+	"papayaspoke/core/result"
+	"papayaspoke/io/protocol/peer/peerpb"
+	"papayaspoke/io/protocol/peer/peerpb/peerpbconnect"
+)
+
+// Client calls other daemons by address. It is safe for concurrent use. Every
+// call is bounded by its context; errors mean only that no answer came.
+type Client struct {
+	http  *http.Client
+	token string
+
+	mu sync.Mutex
+	// peers holds one generated client an address.
+	peers map[string]peerpbconnect.PeerClient
+}
+
+// NewClient returns a client that presents the token.
+func NewClient(h *http.Client, token string) *Client {
+	return &Client{http: h, token: token, peers: make(map[string]peerpbconnect.PeerClient)}
+}
+
+func (c *Client) peer(addr string) peerpbconnect.PeerClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.peers[addr]
+	if p == nil {
+		p = peerpbconnect.NewPeerClient(c.http, "http://"+addr,
+			connect.WithAcceptCompression("gzip", nil, nil),
+			connect.WithInterceptors(connect.UnaryInterceptorFunc(c.authorize)))
+		c.peers[addr] = p
+	}
+	return p
+}
+
+func (c *Client) authorize(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
+		r.Header().Set("Authorization", bearer(c.token))
+		return next(ctx, r)
+	}
+}
+
+// Consensus delivers messages of the replicated log.
+func (c *Client) Consensus(ctx context.Context, addr string, ms []consensus.Message) error {
+	_, err := c.peer(addr).Consensus(ctx, connect.NewRequest(ConsensusBatchToWire(ms)))
+	return err
+}
+
+// Witness makes one witness exchange.
+func (c *Client) Witness(ctx context.Context, addr string, r witness.Request) (witness.Response, error) {
+	resp, err := c.peer(addr).Witness(ctx, connect.NewRequest(WitnessRequestToWire(r)))
+	if err != nil {
+		return witness.Response{}, err
+	}
+	return WitnessResponseFromWire(resp.Msg)
+}
+
+// Gossip makes one membership exchange.
+func (c *Client) Gossip(ctx context.Context, addr string, r membership.Request) (membership.Response, error) {
+	resp, err := c.peer(addr).Gossip(ctx, connect.NewRequest(GossipRequestToWire(r)))
+	if err != nil {
+		return membership.Response{}, err
+	}
+	return GossipResponseFromWire(resp.Msg)
+}
+
+// Propose asks the daemon at addr to commit an encoded command. An error that
+// says the connection could not be made means that nothing was sent.
+func (c *Client) Propose(ctx context.Context, addr string, command []byte) (Proposed, error) {
+	resp, err := c.peer(addr).Propose(ctx, connect.NewRequest(&peerpb.ProposeRequest{Command: command}))
+	if err != nil {
+		return Proposed{}, err
+	}
+	m := resp.Msg
+	return Proposed{
+		Outcome: m.GetOutcome(), Index: m.GetIndex(), Code: result.Code(m.GetCode()), Leader: ident.Daemon(m.GetLeader()),
+	}, nil
+}
+
+// Permits tells the daemon at addr what an owner wants and returns the
+// permits granted to it.
+func (c *Client) Permits(ctx context.Context, addr string, a budget.Ask, released []budget.PermitID) ([]budget.Permit, bool, error) {
+	resp, err := c.peer(addr).Permits(ctx, connect.NewRequest(permitsRequestToWire(a, released, time.Now())))
+	if err != nil {
+		return nil, false, err
+	}
+	return permitsResponseFromWire(resp.Msg, a.Owner), resp.Msg.GetHolder(), nil
+}
--- /dev/null
+++ b/io/protocol/peer/service.go
@@ -0,0 +1,117 @@
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"papayaspoke/core/coordination/consensus"
+	"papayaspoke/core/coordination/dispatch/budget"
+	"papayaspoke/core/coordination/membership"
+	"papayaspoke/core/coordination/witness"
+	"papayaspoke/core/ident"
+	"papayaspoke/core/result"
+	"papayaspoke/io/protocol/peer/peerpb"
+	"papayaspoke/io/protocol/peer/peerpb/peerpbconnect"
+	"papayaspoke/io/protocol/wire"
+)
+
+// Proposed is what became of a command that another daemon proposed here.
+type Proposed struct {
+	// Outcome is the encoded outcome, set if Code is OK or Pending.
+	Outcome []byte
+	// Index is where the command was committed.
+	Index uint64
+	// Code is OK, Pending, NoLeader or Unknown.
+	Code result.Code
+	// Leader is whom to ask instead.
+	Leader ident.Daemon
+}
+
+// Service is what this daemon does for others. Its functions are called by
+// many goroutines.
+type Service struct {
+	// Consensus takes messages of the replicated log.
+	Consensus func(ms []consensus.Message)
+	// Witness answers a request of the witness exchange.
+	Witness func(ctx context.Context, r witness.Request) (witness.Response, error)
+	// Gossip answers a request of the membership exchange.
+	Gossip func(ctx context.Context, r membership.Request) (membership.Response, error)
+	// Propose commits a command if this daemon leads.
+	Propose func(ctx context.Context, command []byte) Proposed
+	// Permits answers an owner's question if this daemon holds the load
+	// budget.
+	Permits func(ctx context.Context, a budget.Ask, released []budget.PermitID) (permits []budget.Permit, holder bool)
+}
+
+// NewHandler serves s to daemons that present the token.
+func NewHandler(s Service, token string) (path string, h http.Handler) {
+	path, inner := peerpbconnect.NewPeerHandler(service{s: s}, connect.WithCompression("gzip", nil, nil))
+	return path, WithToken(token, inner)
+}
+
+// WithToken refuses requests without the token.
+func WithToken(token string, h http.Handler) http.Handler {
+	want := []byte(bearer(token))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), want) != 1 {
+			wire.Refuse(w, result.New(result.WrongToken, "peers present the cluster's token"))
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+func bearer(token string) string { return "Bearer " + token }
+
+// service adapts a Service to the generated handler.
+type service struct{ s Service }
+
+func (h service) Consensus(_ context.Context, r *connect.Request[peerpb.ConsensusBatch]) (*connect.Response[peerpb.ConsensusAck], error) {
+	ms, err := ConsensusBatchFromWire(r.Msg)
+	if err != nil {
+		return nil, malformed(err)
+	}
+	h.s.Consensus(ms)
+	return connect.NewResponse(&peerpb.ConsensusAck{}), nil
+}
+
+func (h service) Witness(ctx context.Context, r *connect.Request[peerpb.WitnessRequest]) (*connect.Response[peerpb.WitnessResponse], error) {
+	req, err := WitnessRequestFromWire(r.Msg)
+	if err != nil {
+		return nil, malformed(err)
+	}
+	resp, err := h.s.Witness(ctx, req)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(WitnessResponseToWire(resp)), nil
+}
+
+func (h service) Gossip(ctx context.Context, r *connect.Request[peerpb.GossipRequest]) (*connect.Response[peerpb.GossipResponse], error) {
+	req, err := GossipRequestFromWire(r.Msg)
+	if err != nil {
+		return nil, malformed(err)
+	}
+	resp, err := h.s.Gossip(ctx, req)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(GossipResponseToWire(resp)), nil
+}
+
+func (h service) Propose(ctx context.Context, r *connect.Request[peerpb.ProposeRequest]) (*connect.Response[peerpb.ProposeResponse], error) {
+	p := h.s.Propose(ctx, r.Msg.GetCommand())
+	return connect.NewResponse(&peerpb.ProposeResponse{
+		Outcome: p.Outcome, Index: p.Index, Code: uint32(p.Code), Leader: string(p.Leader),
+	}), nil
+}
+
+func (h service) Permits(ctx context.Context, r *connect.Request[peerpb.PermitsRequest]) (*connect.Response[peerpb.PermitsResponse], error) {
+	ask, released := permitsRequestFromWire(r.Msg)
+	permits, holder := h.s.Permits(ctx, ask, released)
+	return connect.NewResponse(permitsResponseToWire(permits, holder)), nil
+}
+
+func malformed(err error) error { return connect.NewError(connect.CodeInvalidArgument, err) }
