--- /dev/null
+++ b/core/coordination/witness/tail.go
@@ -0,0 +1,61 @@
+package witness
+
+import "papayaspoke/core/coordination/entry"
+
+// Bounds of the entries kept in memory and of those in one message. Whoever
+// is further behind gets a snapshot.
+const (
+	tailEntries    = 1024
+	tailBytes      = 1 << 20
+	messageEntries = 256
+	messageBytes   = 256 << 10
+)
+
+// tail holds the last entries applied.
+type tail struct {
+	// entries have no gaps; the last one is the last applied.
+	entries []entry.Entry
+	// bytes is the sum of the sizes of entries.
+	bytes int
+}
+
+func (t *tail) add(es []entry.Entry) {
+	t.entries = append(t.entries, es...)
+	for _, e := range es {
+		t.bytes += size(e)
+	}
+	drop := 0
+	for drop < len(t.entries) && (len(t.entries)-drop > tailEntries || t.bytes > tailBytes) {
+		t.bytes -= size(t.entries[drop])
+		drop++
+	}
+	if drop == 0 {
+		return
+	}
+	// Copied so that the dropped entries can be freed.
+	t.entries = append([]entry.Entry(nil), t.entries[drop:]...)
+}
+
+// after returns entries that follow on index, bounded for one message. ok is
+// false if they are no longer here.
+func (t *tail) after(index uint64) (es []entry.Entry, ok bool) {
+	if len(t.entries) == 0 || t.entries[0].Index > index+1 {
+		return nil, false
+	}
+	skip := int(index + 1 - t.entries[0].Index)
+	if skip >= len(t.entries) {
+		return nil, true
+	}
+	es = t.entries[skip:min(len(t.entries), skip+messageEntries)]
+	bytes := 0
+	for i, e := range es {
+		bytes += size(e)
+		if i > 0 && bytes > messageBytes {
+			return es[:i:i], true
+		}
+	}
+	return es[:len(es):len(es)], true
+}
+
+// size is the memory that an entry takes, roughly.
+func size(e entry.Entry) int { return len(e.Data) + 48 }
