--- a/io/protocol/upstream/client.go
+++ b/io/protocol/upstream/client.go
@@ -121,7 +121,7 @@
 	if err := c.exchange(ctx, addr, Prefix+what, body, &b); err != nil {
 		return Welcome{}, err
 	}
-	return Welcome{Known: b.Known, Daemons: b.Daemons}, nil
+	return Welcome(b), nil
 }
 
 // exchange sends one idempotent message and reads the answer into out.
--- a/io/standin/engine/engine.go
+++ b/io/standin/engine/engine.go
@@ -46,8 +46,6 @@
 	records []Record
 	// reports holds the reports that may not be sent yet, oldest first.
 	reports []upstream.Report
-	// draining is true once the engine leaves.
-	draining bool
 }
 
 // slot is the place of one adapter.
--- /dev/null
+++ b/io/transport/server/server_test.go
@@ -0,0 +1,260 @@
+package server_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"papayaspoke/io/protocol/wire"
+	"papayaspoke/io/transport/server"
+)
+
+const patience = 5 * time.Second
+
+func listen(t *testing.T, opts server.Options, h http.HandlerFunc) *server.Server {
+	t.Helper()
+	opts.Refuse = wire.Refuse
+	s, err := server.Listen("127.0.0.1:0", h, opts)
+	assert.NilError(t, err)
+	t.Cleanup(s.Close)
+	return s
+}
+
+func dial(t *testing.T, s *server.Server) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", s.Addr())
+	assert.NilError(t, err)
+	assert.NilError(t, c.SetDeadline(time.Now().Add(patience)))
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func soon(d time.Duration) func(time.Time) time.Time {
+	return func(now time.Time) time.Time { return now.Add(d) }
+}
+
+func TestGoneCallerCancelsRequest(t *testing.T) {
+	started, cause := make(chan struct{}), make(chan error, 1)
+	s := listen(t, server.Options{}, func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		select {
+		case <-r.Context().Done():
+			cause <- context.Cause(r.Context())
+		case <-time.After(patience):
+			cause <- errors.New("context was not cancelled")
+		}
+	})
+	c := dial(t, s)
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	<-started
+	assert.NilError(t, c.Close())
+	assert.ErrorIs(t, <-cause, server.ErrGone)
+}
+
+func TestCutAnswerNeverLooksWhole(t *testing.T) {
+	cases := map[string]http.HandlerFunc{
+		"cut before a byte":   func(w http.ResponseWriter, _ *http.Request) { server.Cut(w) },
+		"cut after a piece":   func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "part"); server.Cut(w) },
+		"panic after a piece": func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "part"); panic("fault") },
+		"aborted":             func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+	}
+	for name, h := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := listen(t, server.Options{}, h)
+			resp, err := http.Get("http://" + s.Addr())
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+			}
+			assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF), "got %v", err)
+		})
+	}
+}
+
+func TestPanicAnswers(t *testing.T) {
+	s := listen(t, server.Options{}, func(http.ResponseWriter, *http.Request) { panic("fault") })
+	resp, err := http.Get("http://" + s.Addr())
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 500)
+	assert.Equal(t, resp.Header.Get(wire.ResultHeader), "599")
+}
+
+func TestLongAnswerOutlivesKeepalive(t *testing.T) {
+	const pieces = 6
+	s := listen(t, server.Options{IdleUntil: soon(50 * time.Millisecond)}, func(w http.ResponseWriter, _ *http.Request) {
+		for range pieces {
+			time.Sleep(30 * time.Millisecond)
+			fmt.Fprint(w, "piece ")
+			w.(http.Flusher).Flush()
+		}
+	})
+	c := dial(t, s)
+	for range 2 {
+		fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		assert.NilError(t, err)
+		b, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(b), strings.Repeat("piece ", pieces))
+	}
+	_, err := c.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF, "an idle connection is closed")
+}
+
+func TestBadRequestsGetTheirNumber(t *testing.T) {
+	big := strings.Repeat("x", 2000)
+	cases := map[string]struct{ send, status, code string }{
+		"large body":       {"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2000\r\n\r\n" + big, "413", "106"},
+		"large unsent":     {"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n", "413", "106"},
+		"large chunked":    {"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" + big + "\r\n0\r\n\r\n", "413", "106"},
+		"both lengths":     {"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "400", "107"},
+		"both, other way":  {"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "400", "107"},
+		"not HTTP":         {"\x16\x03\x01 hello\r\n\r\n", "400", "101"},
+		"bad length":       {"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: many\r\n\r\n", "400", "101"},
+		"half-sent head":   {"POST / HTTP/1.1\r\nHo", "408", "116"},
+		"half-sent body":   {"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc", "408", "116"},
+		"half-sent chunks": {"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", "408", "116"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := listen(t, server.Options{MaxBody: 1000, WholeBy: soon(50 * time.Millisecond)}, func(http.ResponseWriter, *http.Request) {
+				t.Error("the handler was called")
+			})
+			c := dial(t, s)
+			fmt.Fprint(c, tc.send)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			assert.NilError(t, err)
+			assert.Equal(t, fmt.Sprint(resp.StatusCode), tc.status)
+			assert.Equal(t, resp.Header.Get(wire.ResultHeader), tc.code)
+			b, err := io.ReadAll(resp.Body)
+			assert.NilError(t, err)
+			assert.Assert(t, strings.Contains(string(b), `"code":`+tc.code), "body %s", b)
+		})
+	}
+}
+
+func TestShutdownCutsNothing(t *testing.T) {
+	started := make(chan struct{})
+	s := listen(t, server.Options{}, func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, "first ")
+		w.(http.Flusher).Flush()
+		close(started)
+		time.Sleep(100 * time.Millisecond)
+		_, _ = w.Write(bytes.Repeat([]byte("x"), 4<<20))
+		fmt.Fprint(w, " last")
+	})
+	type outcome struct {
+		n   int
+		err error
+	}
+	got := make(chan outcome, 1)
+	go func() {
+		resp, err := http.Get("http://" + s.Addr())
+		if err != nil {
+			got <- outcome{0, err}
+			return
+		}
+		time.Sleep(200 * time.Millisecond) // a slow reader
+		b, err := io.ReadAll(resp.Body)
+		got <- outcome{len(b), err}
+	}()
+	<-started
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	assert.NilError(t, s.Shutdown(ctx))
+	o := <-got
+	assert.NilError(t, o.err)
+	assert.Equal(t, o.n, len("first ")+4<<20+len(" last"))
+	_, err := net.DialTimeout("tcp", s.Addr(), time.Second)
+	assert.Assert(t, err != nil, "a new connection is refused")
+}
+
+func TestLargeAnswersStayApart(t *testing.T) {
+	s := listen(t, server.Options{}, func(w http.ResponseWriter, r *http.Request) {
+		b := bytes.Repeat([]byte(r.URL.Query().Get("c")), 200_000)
+		for len(b) > 0 {
+			n := min(len(b), 70_000)
+			_, _ = w.Write(b[:n])
+			b = b[n:]
+		}
+	})
+	done := make(chan error, 8)
+	for i := range 8 {
+		go func() { done <- checkLetters(s.Addr(), string(rune('a'+i))) }()
+	}
+	for range 8 {
+		assert.NilError(t, <-done)
+	}
+}
+
+func checkLetters(addr, letter string) error {
+	for range 10 {
+		resp, err := http.Get("http://" + addr + "/?c=" + letter)
+		if err != nil {
+			return err
+		}
+		b, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return err
+		}
+		if string(b) != strings.Repeat(letter, 200_000) {
+			return fmt.Errorf("answer for %s holds other bytes", letter)
+		}
+	}
+	return nil
+}
+
+func TestUnknownStatusKeepsItsClass(t *testing.T) {
+	cases := map[string]struct{ give, want int }{
+		"known":          {404, 404},
+		"unknown server": {599, 500},
+		"unknown client": {499, 400},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := listen(t, server.Options{}, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(tc.give) })
+			resp, err := http.Get("http://" + s.Addr())
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, tc.want)
+		})
+	}
+}
+
+func TestHeadHasNoBody(t *testing.T) {
+	s := listen(t, server.Options{}, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "text") })
+	c := dial(t, s)
+	in := bufio.NewReader(c)
+	for range 2 {
+		fmt.Fprint(c, "HEAD / HTTP/1.1\r\nHost: x\r\n\r\n")
+		_, err := http.ReadResponse(in, &http.Request{Method: http.MethodHead})
+		assert.NilError(t, err)
+	}
+}
+
+func TestPipelinedRequestsAnswerInOrder(t *testing.T) {
+	s := listen(t, server.Options{}, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/1" {
+			time.Sleep(50 * time.Millisecond)
+		}
+		fmt.Fprint(w, r.URL.Path)
+	})
+	c := dial(t, s)
+	fmt.Fprint(c, "GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n")
+	in := bufio.NewReader(c)
+	for _, want := range []string{"/1", "/2"} {
+		resp, err := http.ReadResponse(in, nil)
+		assert.NilError(t, err)
+		b, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(b), want)
+	}
+}
