--- /dev/null
+++ b/cmd/papayaspoked/main.go
@@ -0,0 +1,84 @@
+// Command papayaspoked is the daemon that runs on every entry VM.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"papayaspoke/core/result"
+	"papayaspoke/io/daemon"
+	"papayaspoke/io/logs"
+	"papayaspoke/io/settings"
+)
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	path := "papayaspoked.toml"
+	p := flaggy.NewParser("papayaspoked")
+	p.Description = "Daemon of papayaspoke."
+	p.AdditionalHelpAppend = "\nExample: papayaspoked run --settings /etc/papayaspoke/papayaspoked.toml"
+	serve := flaggy.NewSubcommand("run")
+	serve.Description = "Run the daemon until SIGTERM"
+	serve.String(&path, "s", "settings", "Settings file")
+	validate := flaggy.NewSubcommand("validate")
+	validate.Description = "Check a settings file and exit"
+	validate.String(&path, "s", "settings", "Settings file")
+	p.AttachSubcommand(serve, 1)
+	p.AttachSubcommand(validate, 1)
+	if err := p.ParseArgs(args); err != nil {
+		return fail(result.New(result.Malformed, "%w", err))
+	}
+	if !serve.Used && !validate.Used {
+		p.ShowHelp()
+		return fail(result.New(result.Malformed, "name a command"))
+	}
+	s, err := settings.Read(path)
+	if err != nil {
+		return fail(err)
+	}
+	if validate.Used {
+		fmt.Println("settings are valid:", path)
+		return 0
+	}
+	return start(s)
+}
+
+// stopTimeout bounds a graceful shutdown; it is longer than any request may
+// take.
+const stopTimeout = 10 * time.Minute
+
+func start(s settings.Settings) int {
+	log := logs.New(os.Stderr, s.Level()).WithValues("daemon", s.Name())
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	d, err := daemon.New(s, log)
+	if err != nil {
+		return fail(err)
+	}
+	select {
+	case <-stop.Done():
+	case <-d.Done():
+		return fail(result.New(result.Internal, "the daemon ended by itself, see the log"))
+	}
+	ctx, end := context.WithTimeout(context.Background(), stopTimeout)
+	defer end()
+	if err := d.Shutdown(ctx); err != nil {
+		return fail(err)
+	}
+	return 0
+}
+
+func fail(err error) int {
+	code := result.CodeOf(err)
+	fmt.Fprintln(os.Stderr, err)
+	fmt.Fprintln(os.Stderr, "What to do:", result.Lookup(code).Advice)
+	return result.Exit(code)
+}
--- a/io/daemon/admin.go
+++ b/io/daemon/admin.go
@@ -134,7 +134,7 @@
 		for _, r := range v.state.History() {
 			rows = append(rows, []string{
 				number(r.Index), r.Change.At.UTC().Format(time.RFC3339), string(r.Change.ID), r.Change.Author,
-				state.NameOf(r.Change), strconv.Itoa(int(r.Outcome.Code)),
+				describe(r.Change), strconv.Itoa(int(r.Outcome.Code)),
 			})
 		}
 		return rows
--- a/io/daemon/orders.go
+++ b/io/daemon/orders.go
@@ -56,7 +56,7 @@
 	ctx, cancel := context.WithTimeout(d.ctx, commitTimeout)
 	defer cancel()
 	if a, err := d.proposer.propose(ctx, cmd); err != nil || a.outcome.Code != result.OK {
-		d.log.V(1).Info("command not committed", "command", state.NameOf(cmd), "error", errText(err), "code", int(a.outcome.Code), "detail", a.outcome.Detail)
+		d.log.V(1).Info("command not committed", "command", describe(cmd), "error", errText(err), "code", int(a.outcome.Code), "detail", a.outcome.Detail)
 	}
 }
 
--- a/io/protocol/caller/forward.go
+++ b/io/protocol/caller/forward.go
@@ -30,11 +30,13 @@
 type Forwarder struct {
 	client *client.Client
 	self   ident.Daemon
+	token  string
 }
 
-// NewForwarder returns a forwarder for the daemon self.
-func NewForwarder(c *client.Client, self ident.Daemon) *Forwarder {
-	return &Forwarder{client: c, self: self}
+// NewForwarder returns a forwarder for the daemon self, which presents the
+// cluster's token.
+func NewForwarder(c *client.Client, self ident.Daemon, token string) *Forwarder {
+	return &Forwarder{client: c, self: self, token: token}
 }
 
 // Infer passes x on to the daemon at addr, its peers' address. An error whose
@@ -96,6 +98,7 @@
 	}
 	set(RequestHeader, string(m.ID))
 	set(HopHeader, string(f.self))
+	h.Set("Authorization", "Bearer "+f.token)
 	set(ClassHeader, string(m.Class))
 	set(KeyHeader, string(m.Key))
 	set(AttemptHeader, string(m.Attempt))
--- a/io/protocol/caller/request.go
+++ b/io/protocol/caller/request.go
@@ -127,6 +127,16 @@
 	return &Answer{adapter: adapter, model: model, upstream: upstream, next: next, end: end}
 }
 
+// WithEnd returns the answer with f called after its own end.
+func (a *Answer) WithEnd(f func()) *Answer {
+	c, end := *a, a.end
+	c.end = func() {
+		end()
+		f()
+	}
+	return &c
+}
+
 // Adapter returns the adapter that made the answer.
 func (a *Answer) Adapter() ident.Adapter { return a.adapter }
 
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -23,6 +23,8 @@
 	caller     netip.AddrPort
 	operator   netip.AddrPort
 	peer       netip.AddrPort
+	shownCall  netip.AddrPort
+	shownPeer  netip.AddrPort
 	peers      []netip.AddrPort
 	voters     []ident.Daemon
 	token      string
@@ -47,6 +49,13 @@
 // Peer returns the address that other daemons connect to.
 func (s Settings) Peer() netip.AddrPort { return s.peer }
 
+// AdvertisedCaller returns the address that callers and upstreams are told;
+// it differs from Caller where a port is forwarded.
+func (s Settings) AdvertisedCaller() netip.AddrPort { return s.shownCall }
+
+// AdvertisedPeer returns the address that other daemons are told.
+func (s Settings) AdvertisedPeer() netip.AddrPort { return s.shownPeer }
+
 // Peers returns the peer addresses to join through.
 func (s Settings) Peers() []netip.AddrPort { return slices.Clone(s.peers) }
 
@@ -66,6 +75,7 @@
 	Centre string     `toml:"centre"`
 	Data   string     `toml:"data"`
 	Listen listenPart `toml:"listen"`
+	Shown  shownPart  `toml:"advertise"`
 	Group  groupPart  `toml:"cluster"`
 	Log    logPart    `toml:"log"`
 }
@@ -76,6 +86,11 @@
 	Peer     string `toml:"peer"`
 }
 
+type shownPart struct {
+	Caller string `toml:"caller"`
+	Peer   string `toml:"peer"`
+}
+
 type groupPart struct {
 	Peers  []string `toml:"peers"`
 	Voters []string `toml:"voters"`
@@ -156,6 +171,8 @@
 		peer:       c.listen("listen.peer", f.Listen.Peer),
 		level:      f.Log.Level,
 	}
+	s.shownCall = c.advertise("advertise.caller", f.Shown.Caller, s.caller)
+	s.shownPeer = c.advertise("advertise.peer", f.Shown.Peer, s.peer)
 	for _, p := range f.Group.Peers {
 		s.peers = append(s.peers, c.address("cluster.peers", p))
 	}
@@ -207,6 +224,15 @@
 	return a
 }
 
+// advertise checks an address that is optional and defaults to the one
+// listened on.
+func (c *checker) advertise(key, v string, listen netip.AddrPort) netip.AddrPort {
+	if v == "" {
+		return listen
+	}
+	return c.listen(key, v)
+}
+
 func (c *checker) voters(s *Settings, names []string) {
 	if len(names) == 0 {
 		c.addf("cluster.voters", "cluster.voters is missing")
