A failed resume looked like the end of a whole answer

A cut before the first byte also sent a head with status 200. Change: failures of an exchange never have io.EOF in their chain; handler and stream take only io.EOF itself for the end; a cut without a byte sends nothing. Conclusion: streams are never taken for whole without their last line.

--- a/io/protocol/caller/handler.go
+++ b/io/protocol/caller/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -120,13 +119,14 @@
 	return context.WithDeadline(ctx, t)
 }
 
-// whole collects the answer and sends it at once.
+// whole collects the answer and sends it at once. Only [io.EOF] itself is the
+// end: an error that wraps it is a connection that ended early.
 func (h *Handler) whole(w http.ResponseWriter, x Infer, a *Answer) error {
 	var text strings.Builder
 	pieces := 0
 	for {
 		piece, err := a.Next()
-		if errors.Is(err, io.EOF) {
+		if err == io.EOF {
 			break
 		}
 		if err != nil {
@@ -144,7 +144,7 @@
 // error with a status and an answer.
 func (h *Handler) stream(w http.ResponseWriter, x Infer, a *Answer) error {
 	piece, err := a.Next()
-	if err != nil && !errors.Is(err, io.EOF) {
+	if err != nil && err != io.EOF {
 		return err
 	}
 	hd := w.Header()
@@ -159,7 +159,7 @@
 		}
 		piece, err = a.Next()
 	}
-	if errors.Is(err, io.EOF) {
+	if err == io.EOF {
 		e.done()
 		return nil
 	}
--- a/io/protocol/upstream/stream.go
+++ b/io/protocol/upstream/stream.go
@@ -63,7 +63,7 @@
 			s.offset++
 			s.resumes = 0
 			return text, nil
-		case errors.Is(err, io.EOF):
+		case err == io.EOF:
 			s.finish()
 		case isCut(err):
 			s.resume(err)
--- a/io/transport/client/client.go
+++ b/io/transport/client/client.go
@@ -221,12 +221,21 @@
 			err = fmt.Errorf("%w: %w", cause, err)
 		}
 		cancel(nil)
-		return nil, &Failure{sent: got.Load(), fresh: !reused.Load(), cause: err}
+		return nil, &Failure{sent: got.Load(), fresh: !reused.Load(), cause: notEOF(err)}
 	}
 	b := &body{inner: resp.Body, watch: watch, cancel: cancel, ctx: ctx}
 	return &Answer{status: resp.StatusCode, header: resp.Header, body: b}, nil
 }
 
+// notEOF keeps a connection that ended early from being taken for the regular
+// end of an answer by whoever looks for [io.EOF] in the chain.
+func notEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return fmt.Errorf("%w: %s", io.ErrUnexpectedEOF, err)
+	}
+	return err
+}
+
 // setBody leaves GetBody unset, so that net/http repeats nothing by itself.
 func setBody(req *http.Request, x Exchange) {
 	if len(x.Body) == 0 && x.Idempotent {
--- /dev/null
+++ b/io/transport/client/client_test.go
@@ -0,0 +1,156 @@
+package client_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"papayaspoke/io/transport/client"
+	"papayaspoke/io/transport/relay"
+	"papayaspoke/io/transport/server"
+)
+
+func behindRelay(t *testing.T, h http.HandlerFunc) *relay.Relay {
+	t.Helper()
+	s, err := server.Listen("127.0.0.1:0", h, server.Options{})
+	assert.NilError(t, err)
+	t.Cleanup(s.Close)
+	r, err := relay.Start(s.Addr())
+	assert.NilError(t, err)
+	t.Cleanup(r.Close)
+	return r
+}
+
+func get(addr string) client.Exchange {
+	return client.Exchange{Method: http.MethodGet, URL: "http://" + addr + "/", Idempotent: true}
+}
+
+func drain(t *testing.T, a *client.Answer) string {
+	t.Helper()
+	b, err := a.ReadAll(1 << 20)
+	assert.NilError(t, err)
+	assert.NilError(t, a.Body().Close())
+	return string(b)
+}
+
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	r := behindRelay(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") })
+	c := client.New()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	a, err := c.Do(ctx, get(r.Addr()))
+	assert.NilError(t, err)
+	assert.Equal(t, drain(t, a), "ok")
+	r.SetOpen(relay.Drop)
+	x := get(r.Addr())
+	x.HeadBy = time.Now().Add(50 * time.Millisecond)
+	a, err = c.Do(ctx, x)
+	assert.NilError(t, err)
+	assert.Equal(t, drain(t, a), "ok")
+	assert.Equal(t, r.Opened(), 2)
+}
+
+func TestSilenceOfNewConnectionsIsTold(t *testing.T) {
+	r := behindRelay(t, func(http.ResponseWriter, *http.Request) {})
+	r.SetNew(relay.Drop)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err := client.New().Do(ctx, get(r.Addr()))
+	var f *client.Failure
+	assert.Assert(t, errors.As(err, &f))
+	assert.Assert(t, f.Fresh())
+	assert.Assert(t, f.Sent())
+}
+
+func TestNothingIsSentTwiceUnlessAllowed(t *testing.T) {
+	cases := map[string]struct {
+		idempotent bool
+		body       string
+		want       int64
+	}{
+		"idempotent":         {true, "body", 2},
+		"once":               {false, "body", 1},
+		"once without body":  {false, "", 1},
+		"again without body": {true, "", 2},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int64
+			var cut atomic.Bool
+			s, err := server.Listen("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if cut.Load() {
+					runs.Add(1)
+					server.Cut(w)
+				}
+			}), server.Options{})
+			assert.NilError(t, err)
+			defer s.Close()
+			c := client.New()
+			a, err := c.Do(t.Context(), get(s.Addr()))
+			assert.NilError(t, err)
+			drain(t, a)
+			cut.Store(true)
+			_, err = c.Do(t.Context(), client.Exchange{
+				Method: http.MethodPost, URL: "http://" + s.Addr() + "/", Body: []byte(tc.body),
+				Header: http.Header{"Idempotency-Key": {"k"}}, Idempotent: tc.idempotent,
+			})
+			assert.Assert(t, client.Sent(err))
+			assert.Equal(t, runs.Load(), tc.want)
+		})
+	}
+}
+
+func TestRefusedConnectionProvesNothingSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := l.Addr().String()
+	assert.NilError(t, l.Close())
+	for name, idempotent := range map[string]bool{"once": false, "idempotent": true} {
+		t.Run(name, func(t *testing.T) {
+			x := get(addr)
+			x.Idempotent = idempotent
+			_, err := client.New().Do(t.Context(), x)
+			assert.Assert(t, err != nil)
+			assert.Assert(t, !client.Sent(err))
+		})
+	}
+}
+
+func TestBodiesThatEndEarlyAreErrors(t *testing.T) {
+	cases := map[string]struct {
+		handler http.HandlerFunc
+		silent  bool
+	}{
+		"cut": {func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, "part")
+			w.(http.Flusher).Flush()
+			server.Cut(w)
+		}, false},
+		"silent": {func(w http.ResponseWriter, r *http.Request) {
+			fmt.Fprint(w, "part")
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := behindRelay(t, tc.handler)
+			a, err := client.New().Do(t.Context(), get(r.Addr()))
+			assert.NilError(t, err)
+			defer a.Body().Close()
+			a.LimitSilence(func(now time.Time) time.Time { return now.Add(50 * time.Millisecond) })
+			b, err := io.ReadAll(a.Body())
+			assert.Equal(t, string(b), "part")
+			assert.Assert(t, err != nil)
+			assert.Equal(t, client.Silent(err), tc.silent)
+		})
+	}
+}
--- a/io/transport/server/writer.go
+++ b/io/transport/server/writer.go
@@ -163,7 +163,9 @@
 	if w.done {
 		return
 	}
-	w.flush()
+	if w.started {
+		w.flush()
+	}
 	w.done = true
 	c, _, err := w.res.Hijack()
 	if err == nil {
