--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -6,6 +6,11 @@
 
 	"github.com/go-logr/logr"
 	"papayaspoke/core/coordination/consensus"
+	"papayaspoke/core/coordination/dispatch"
+	"papayaspoke/core/coordination/dispatch/budget"
+	"papayaspoke/core/coordination/dispatch/routing"
+	"papayaspoke/core/coordination/membership"
+	"papayaspoke/core/coordination/ownership"
 	"papayaspoke/core/coordination/witness"
 	"papayaspoke/core/ident"
 	"papayaspoke/core/state"
@@ -21,38 +26,72 @@
 // control is the control loop. Its fields belong to its goroutine, but for
 // those that say otherwise.
 type control struct {
-	self  ident.Daemon
-	inc   ident.Incarnation
-	log   logr.Logger
-	clock func() time.Time
+	self       ident.Daemon
+	inc        ident.Incarnation
+	dataCentre ident.DataCentre
+	log        logr.Logger
+	clock      func() time.Time
 
 	// inbox and done may be used by any goroutine.
 	inbox chan func(now time.Time)
 	done  chan struct{}
 
 	state *state.State
+	// view is the state as of the last tick or publication.
+	view *state.View
+	// term is that of the last applied entry.
+	term uint64
 	// voter is nil on a daemon without a data folder.
 	voter   *voter
 	witness *witness.Witness
+	// witnesses is the set as of the last applied entry, witnessVersion its
+	// version.
+	witnesses      witness.Witnesses
+	witnessVersion uint64
 	// proposals are those that this daemon made as the leader.
 	proposals proposals
-	// replies holds who waits for the answer to a witness request, by token.
-	replies map[uint64]chan<- witness.Response
-	tokens  uint64
 	// leader is the last known leader, empty if none is known.
 	leader ident.Daemon
-	// witnesses is the set as of the last applied entry.
-	witnesses witness.Witnesses
-	// term is that of the last applied entry.
-	term uint64
+
+	members *membership.Membership
+	// daemons are the names that membership knows, sorted.
+	daemons []ident.Daemon
+	// known are the upstreams that the routing tables know.
+	known     map[ident.Upstream]bool
+	directory *routing.Directory
+	services  *routing.Services
+
+	holder *ownership.Holder
+	// assigner is nil unless this daemon leads.
+	assigner *ownership.Assigner
+	// owned holds the replicas whose gate is open here.
+	owned   map[ident.Upstream]*owned
+	anchors map[ident.Upstream]anchor
+
+	dispatcher *dispatch.Dispatcher
+	// waiters are the goroutines of the requests that have not ended.
+	waiters map[ident.Request]chan<- decision
+	permits permits
+
+	// replies and gossipReplies hold who waits for an answer, by token.
+	replies       map[uint64]chan<- witness.Response
+	gossipReplies map[uint64]chan<- membership.Response
+	tokens        uint64
+
+	// witnessAt, expireAt and orphanAt are when the leader's chores are due;
+	// announcedAt is when the directory was last told of owned replicas.
+	witnessAt, expireAt, orphanAt, announcedAt time.Time
+	draining                                   bool
 	// dirty is true if the view has to be published anew.
 	dirty bool
+	// afterPublish runs once the next view is published.
+	afterPublish []func()
 
-	// send carries out an exchange with another daemon on another goroutine.
-	send sender
+	send   sender
+	orders orders
 	// publish swaps the view that traffic goroutines read.
 	publish func(c *control)
-	// supersede ends the process: another one has its name.
+	// supersede ends the process.
 	supersede func()
 }
 
@@ -61,6 +100,12 @@
 type sender struct {
 	consensus func(m consensus.Message)
 	witness   func(to ident.Daemon, r witness.Request)
+	gossip    func(addr string, r membership.Request, done func(now time.Time, resp membership.Response, err error))
+	permits   func(to ident.Daemon, a budget.Ask, released []budget.PermitID)
+	// read asks for a linearizable read through the voters.
+	read func()
+	// probe tries a new connection to a daemon.
+	probe func(name ident.Daemon, addr string)
 }
 
 // post hands f to the control loop. It returns false if the loop has ended.
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -110,23 +110,26 @@
 	c := &control{
 		self: d.self, inc: d.inc, log: d.log, clock: d.clock, dataCentre: d.dataCentre,
 		inbox: make(chan func(now time.Time), inboxSize), done: make(chan struct{}),
-		state:      state.New(),
-		witness:    witness.New(now, witness.Config{Self: d.self, Incarnation: d.inc, Rand: seed}),
-		proposals:  newProposals(),
-		replies:    make(map[uint64]chan<- witness.Response),
-		waiters:    make(map[ident.Request]chan<- decision),
-		anchors:    make(map[ident.Upstream]anchor),
-		dispatcher: dispatch.New(d.self, dispatch.Default()),
-		directory:  routing.NewDirectory(routing.Default()),
-		services:   routing.NewServices(d.dataCentre),
-		holder:     ownership.NewHolder(d.self, d.inc),
-		publish:    d.publish,
-		supersede:  d.halt,
-		orders:     newOrders(d),
+		state:         state.New(),
+		witness:       witness.New(now, witness.Config{Self: d.self, Incarnation: d.inc, Rand: seed}),
+		proposals:     newProposals(),
+		replies:       make(map[uint64]chan<- witness.Response),
+		waiters:       make(map[ident.Request]chan<- decision),
+		owned:         make(map[ident.Upstream]*owned),
+		anchors:       make(map[ident.Upstream]anchor),
+		gossipReplies: make(map[uint64]chan<- membership.Response),
+		dispatcher:    dispatch.New(d.self, dispatch.Default()),
+		directory:     routing.NewDirectory(routing.Default()),
+		services:      routing.NewServices(d.dataCentre),
+		holder:        ownership.NewHolder(d.self, d.inc),
+		publish:       d.publish,
+		supersede:     d.halt,
+		orders:        newOrders(d),
 	}
 	c.members = membership.New(now, d.membershipConfig(seed))
+	c.view = c.state.View()
 	c.permits.heard = now
-	c.send = sender{consensus: d.peers.consensus, witness: d.peers.witness, gossip: d.peers.gossip, permits: d.peers.permits, read: d.readIndex}
+	c.send = sender{consensus: d.peers.consensus, witness: d.peers.witness, gossip: d.peers.gossip, permits: d.peers.permits, read: d.readIndex, probe: d.probe}
 	return c
 }
 
--- /dev/null
+++ b/io/daemon/dump.go
@@ -0,0 +1,126 @@
+package daemon
+
+import (
+	"context"
+	"runtime"
+	"strconv"
+	"time"
+
+	"papayaspoke/core/result"
+	"papayaspoke/io/protocol/operator"
+)
+
+// processDump is the wire form of a daemon's state dump.
+type processDump struct {
+	Daemon      string              `json:"daemon"`
+	Centre      string              `json:"centre"`
+	Incarnation uint64              `json:"incarnation"`
+	Leader      string              `json:"leader"`
+	Role        string              `json:"role,omitempty"`
+	Term        uint64              `json:"term,omitempty"`
+	Applied     uint64              `json:"applied"`
+	Visible     uint64              `json:"visible"`
+	Standing    bool                `json:"standing"`
+	FreshFor    string              `json:"fresh"`
+	Draining    bool                `json:"draining"`
+	Version     uint64              `json:"version"`
+	Adapters    int                 `json:"adapters"`
+	Ledger      int                 `json:"ledger"`
+	Waiting     int                 `json:"waiting"`
+	Requests    int                 `json:"requests"`
+	Calls       int                 `json:"calls"`
+	Fallback    bool                `json:"fallback"`
+	Goroutines  int                 `json:"goroutines"`
+	Heap        uint64              `json:"heap"`
+	Replicas    []replicaDump       `json:"replicas"`
+	Lists       map[string][]string `json:"lists"`
+}
+
+type replicaDump struct {
+	Upstream    string   `json:"upstream"`
+	Fence       uint64   `json:"fence"`
+	Claimed     bool     `json:"claimed"`
+	Closed      bool     `json:"closed"`
+	Outstanding int      `json:"outstanding"`
+	Residents   []string `json:"residents"`
+}
+
+// dump returns the state of this process.
+func (d *Daemon) dump(ctx context.Context) (any, error) {
+	v := d.view.Load()
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	out := processDump{
+		Daemon: string(d.self), Centre: string(d.dataCentre), Incarnation: uint64(d.inc), Draining: v.draining,
+		Goroutines: runtime.NumGoroutine(), Heap: mem.HeapAlloc, Calls: d.callers.InFlight(),
+		Lists: make(map[string][]string),
+	}
+	for _, n := range sortedKeys(v.daemons) {
+		out.Lists["daemons"] = append(out.Lists["daemons"], string(n))
+	}
+	for _, n := range sortedKeys(v.upstreams) {
+		out.Lists["upstreams"] = append(out.Lists["upstreams"], string(n))
+	}
+	if err := d.ctl.call(ctx, func(now time.Time) { d.ctl.dump(now, &out) }); err != nil {
+		return nil, result.New(result.Draining, "%w", err)
+	}
+	return out, nil
+}
+
+func (c *control) dump(now time.Time, out *processDump) {
+	v := c.state.View()
+	out.Leader = string(c.leader)
+	if c.voter != nil {
+		out.Role, out.Term = c.voter.node.Role().String(), c.voter.node.Term()
+	}
+	out.Applied, out.Visible, out.Standing = c.witness.Applied(), c.witness.Visible(), c.witness.Standing()
+	out.FreshFor = max(0, c.witness.FreshUntil().Sub(now)).Round(time.Millisecond).String()
+	out.Version, out.Adapters, out.Ledger = v.Version(), v.CountAdapters(), v.CountEntries()
+	out.Waiting, out.Requests, out.Fallback = c.dispatcher.Waiting(), c.dispatcher.Len(), c.permits.lost
+	for _, r := range c.dispatcher.Records(now) {
+		rd := replicaDump{Upstream: string(r.Upstream), Closed: r.Closed, Outstanding: r.Outstanding}
+		if w := c.owned[r.Upstream]; w != nil {
+			rd.Fence = uint64(w.fence)
+		}
+		_, rd.Claimed = c.anchors[r.Upstream]
+		for _, a := range r.Residents {
+			rd.Residents = append(rd.Residents, a.String())
+		}
+		out.Replicas = append(out.Replicas, rd)
+	}
+}
+
+// voterTable lists the voters as this daemon's consensus node sees them.
+func (d *Daemon) voterTable(v *view) (operator.Table, error) {
+	t := operator.Table{Index: v.state.Index(), Columns: []string{"voter", "disk", "status", "leader"}}
+	if d.ctl.voter == nil {
+		return t, result.New(result.NotFound, "this daemon has no disk; ask one that has")
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, exchangeTimeout)
+	defer cancel()
+	err := d.ctl.call(ctx, func(time.Time) {
+		m := d.ctl.voter.node.Members()
+		leader := d.ctl.voter.node.Leader()
+		for _, x := range m.Voters() {
+			t.Rows = append(t.Rows, []string{string(x.Daemon), x.Disk, "voter", strconv.FormatBool(x == leader)})
+		}
+		for _, x := range m.Learners() {
+			t.Rows = append(t.Rows, []string{string(x.Daemon), x.Disk, "learner", "false"})
+		}
+	})
+	return t, err
+}
+
+// recover is not built yet.
+func (d *Daemon) recover(context.Context) (operator.Answer, error) {
+	return operator.Answer{}, result.New(result.ChangeRefused, "forced recovery is not available in this version")
+}
+
+// count counts an event and whether it failed.
+func (d *Daemon) count(name string, err error) {
+	s := d.metrics.Scope()
+	s.Counter(name).Inc(1)
+	if err != nil {
+		s.Counter(name + "_failed").Inc(1)
+	}
+}
--- a/io/daemon/infer.go
+++ b/io/daemon/infer.go
@@ -12,6 +12,7 @@
 	"papayaspoke/core/coordination/dispatch/routing"
 	"papayaspoke/core/ident"
 	"papayaspoke/core/result"
+	"papayaspoke/core/state"
 	"papayaspoke/io/protocol/caller"
 	"papayaspoke/io/protocol/upstream"
 )
@@ -43,7 +44,7 @@
 // cutoff is when an answer that has not ended is given up. A request whose
 // target has passed still runs on for as long again: late is better than cut.
 func (d *Daemon) cutoff(r dispatch.Request) time.Time {
-	return r.Deadline.Add(max(r.Deadline.Sub(r.Arrived), minOverrun))
+	return cutoffOf(r.Arrived, r.Deadline)
 }
 
 // minOverrun is the least time past its target that a request may take.
@@ -81,7 +82,7 @@
 
 // resolveModel fills in the base model of the adapter and refuses names that
 // the catalogue does not have.
-func (d *Daemon) resolveModel(st stateView, x *caller.Infer) error {
+func (d *Daemon) resolveModel(st *state.View, x *caller.Infer) error {
 	if x.Adapter.IsZero() {
 		if _, ok := st.Model(x.Model); !ok {
 			return result.New(result.UnknownModel, "model %q", x.Model)
@@ -188,15 +189,17 @@
 	if !d.ctl.post(func(now time.Time) { d.ctl.arrive(now, r, decisions) }) {
 		return nil, result.New(result.Draining, "the daemon stops")
 	}
+	ran := false
 	for {
 		select {
 		case <-ctx.Done():
-			d.ctl.post(func(now time.Time) { d.ctl.stepDispatch(now, dispatch.Cancelled{Request: r.ID}) })
-			return nil, result.New(result.TimedOut, "%w", context.Cause(ctx))
+			d.ctl.post(func(now time.Time) { d.ctl.cancel(now, r.ID) })
+			return nil, gaveUpWaiting(ctx, ran)
 		case dec := <-decisions:
 			if !dec.isSend {
 				return nil, dec.err
 			}
+			ran = true
 			if a, ok := d.run(ctx, x, r, dec.send); ok {
 				return a, nil
 			}
@@ -204,13 +207,20 @@
 	}
 }
 
+func gaveUpWaiting(ctx context.Context, ran bool) error {
+	if ran {
+		return result.New(result.TimedOut, "%w", context.Cause(ctx))
+	}
+	return result.New(result.DeadlineHopeless, "it was never sent: %w", context.Cause(ctx))
+}
+
 // run makes one attempt. It returns false if the attempt ended before a byte
 // of the answer was delivered; the dispatcher then decides anew.
 func (d *Daemon) run(ctx context.Context, x caller.Infer, r dispatch.Request, s dispatch.Send) (*caller.Answer, bool) {
 	finish := func(err error, delivered bool) {
 		out := d.outcomeOf(s.Upstream, s.Incarnation, err)
 		d.ctl.post(func(now time.Time) {
-			d.ctl.stepDispatch(now, dispatch.Finished{Request: r.ID, Outcome: out, Delivered: delivered})
+			d.ctl.finished(now, dispatch.Finished{Request: r.ID, Outcome: out, Delivered: delivered})
 		})
 	}
 	stream, err := d.generate(ctx, x, r, s)
@@ -235,9 +245,11 @@
 	if !ok || info.incarnation != s.Incarnation {
 		return nil, result.New(result.NoUpstream, "upstream %s is gone", s.Upstream)
 	}
-	if err := d.guard(v, s.Upstream, s.Fence, d.cutoff(r)); err != nil {
+	exit, err := d.enter(s.Upstream, s.Fence, d.cutoff(r))
+	if err != nil {
 		return nil, err
 	}
+	defer exit()
 	return d.upstreams.Generate(ctx, info.address, upstream.Generate{
 		Request: x.ID, Model: x.Model, Adapter: s.Adapter, Prompt: x.Prompt, MaxTokens: x.MaxTokens,
 		Fence: s.Fence, Incarnation: s.Incarnation, Deadline: d.cutoff(r),
--- /dev/null
+++ b/io/daemon/members.go
@@ -0,0 +1,169 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"papayaspoke/core/coordination/dispatch/routing"
+	"papayaspoke/core/coordination/membership"
+	"papayaspoke/core/coordination/witness"
+	"papayaspoke/core/ident"
+	"papayaspoke/core/result"
+)
+
+func (d *Daemon) membershipConfig(r *rand.Rand) membership.Config {
+	s := d.settings
+	own := membership.Daemon{
+		Name: d.self, Version: membership.Version{Incarnation: d.inc},
+		Caller: s.AdvertisedCaller().String(), Peer: s.AdvertisedPeer().String(), Operator: s.Operator().String(),
+		DataCentre: d.dataCentre, Disk: s.Data(),
+	}
+	seeds := make([]string, 0, len(s.Peers()))
+	for _, p := range s.Peers() {
+		seeds = append(seeds, p.String())
+	}
+	return membership.Config{Own: own, Seeds: seeds, Rand: r}
+}
+
+// stepMembers feeds one event to membership and carries out its effects.
+func (c *control) stepMembers(now time.Time, ev membership.Event) {
+	for _, e := range c.members.Step(now, ev) {
+		switch e := e.(type) {
+		case membership.Send:
+			c.gossip(e)
+		case membership.Reply:
+			if ch := c.gossipReplies[e.Token]; ch != nil {
+				ch <- e.Response
+			}
+			delete(c.gossipReplies, e.Token)
+		case membership.ProbeFresh:
+			c.send.probe(e.Daemon, e.Address)
+		case membership.Changed:
+			c.membersChanged(now)
+		case membership.Superseded:
+			c.log.Info("superseded by a later process of the same name", "incarnation", uint64(e.By))
+			c.supersede()
+		}
+	}
+}
+
+func (c *control) gossip(e membership.Send) {
+	c.send.gossip(e.Address, e.Request, func(now time.Time, resp membership.Response, err error) {
+		switch {
+		case err == nil:
+			c.stepMembers(now, membership.Answered{Response: resp})
+		case e.To != "":
+			c.stepMembers(now, membership.Failed{Daemon: e.To})
+		}
+	})
+}
+
+// membersChanged tells the other parts who is there.
+func (c *control) membersChanged(now time.Time) {
+	c.dirty = true
+	daemons := c.members.Daemons()
+	names := make([]ident.Daemon, 0, len(daemons))
+	for _, d := range daemons {
+		names = append(names, d.Name)
+	}
+	if !slices.Equal(names, c.daemons) {
+		c.daemons = names
+		c.stepWitness(now, witness.Peers{Daemons: names})
+		if c.permits.holder != nil {
+			c.permits.holder.SetOwners(c.owners())
+		}
+	}
+	c.upstreamsChanged(now)
+}
+
+// owners returns the daemons that may own replicas and so share the load
+// budget.
+func (c *control) owners() []ident.Daemon {
+	if len(c.daemons) == 0 {
+		return []ident.Daemon{c.self}
+	}
+	return c.daemons
+}
+
+// upstreamsChanged brings the routing tables up to date.
+func (c *control) upstreamsChanged(now time.Time) {
+	seen := make(map[ident.Upstream]bool)
+	for _, u := range c.members.Upstreams() {
+		seen[u.Name] = true
+		if u.Kind == membership.PlainService {
+			c.services.Put(routing.ServiceReplica{Upstream: u.Name, Service: u.Service, DataCentre: u.DataCentre, Closed: u.Leaving})
+			continue
+		}
+		c.replicaChanged(now, u)
+	}
+	for name := range c.known {
+		if !seen[name] {
+			c.services.Remove(name)
+			c.directory.Remove(name)
+		}
+	}
+	c.known = seen
+}
+
+// replicaChanged updates the directory from what an engine says of itself,
+// unless this daemon owns it: then the dispatcher knows better.
+func (c *control) replicaChanged(now time.Time, u membership.Upstream) {
+	o, _ := c.view.Owner(u.Name)
+	if !o.Owned() {
+		c.directory.Remove(u.Name)
+		return
+	}
+	if o.Owner == c.self && c.holder.Gate(u.Name) != nil {
+		c.ownedChanged(now, u)
+		return
+	}
+	c.directory.Put(routing.Replica{
+		Upstream: u.Name, Owner: o.Owner, DataCentre: u.DataCentre, Model: u.Model,
+		Slots: int(u.Slots), MaxBatch: int(u.MaxBatch), Residents: u.Residents,
+		Outstanding: int(u.InFlight + u.Queue), Closed: u.Leaving || c.members.Unreachable(o.Owner), Loads: true,
+	})
+}
+
+// announce refreshes the directory from the dispatcher's own records.
+func (c *control) announce(now time.Time) {
+	for _, r := range c.dispatcher.Records(now) {
+		c.directory.Put(r)
+	}
+}
+
+// gossiped serves a request of the membership exchange.
+func (d *Daemon) gossiped(ctx context.Context, r membership.Request) (membership.Response, error) {
+	ch := make(chan membership.Response, 1)
+	d.ctl.post(func(now time.Time) {
+		d.ctl.tokens++
+		d.ctl.gossipReplies[d.ctl.tokens] = ch
+		d.ctl.stepMembers(now, membership.Received{Token: d.ctl.tokens, Request: r})
+	})
+	return awaitReply(ctx, ch)
+}
+
+// witnessAsked serves a request of the witness exchange.
+func (d *Daemon) witnessAsked(ctx context.Context, r witness.Request) (witness.Response, error) {
+	ch := make(chan witness.Response, 1)
+	d.ctl.post(func(now time.Time) {
+		d.ctl.tokens++
+		d.ctl.replies[d.ctl.tokens] = ch
+		d.ctl.stepWitness(now, witness.Received{Token: d.ctl.tokens, Request: r})
+	})
+	return awaitReply(ctx, ch)
+}
+
+func awaitReply[T any](ctx context.Context, ch <-chan T) (T, error) {
+	select {
+	case resp := <-ch:
+		return resp, nil
+	case <-ctx.Done():
+		var none T
+		return none, result.New(result.TimedOut, "%w", ctx.Err())
+	case <-time.After(exchangeTimeout):
+		var none T
+		return none, result.New(result.TimedOut, "no answer in time")
+	}
+}
--- a/io/daemon/view.go
+++ b/io/daemon/view.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"papayaspoke/core/coordination/ownership"
 	"papayaspoke/core/ident"
 	"papayaspoke/core/result"
 	"papayaspoke/core/state"
@@ -20,6 +21,8 @@
 	// daemons and upstreams are those that membership knows of.
 	daemons   map[ident.Daemon]daemonInfo
 	upstreams map[ident.Upstream]upstreamInfo
+	// gates are those of the replicas that this daemon owns.
+	gates map[ident.Upstream]*ownership.Gate
 	// draining is true once this daemon takes no new callers.
 	draining bool
 }
--- a/io/daemon/voter.go
+++ b/io/daemon/voter.go
@@ -12,15 +12,12 @@
 // voter is the part of a daemon that takes part in the replicated log.
 type voter struct {
 	node *consensus.Node
-	// persist is read by the goroutine that writes the disk.
-	persist chan consensus.Persist
+	// persist hands a batch to the disk and returns at once.
+	persist func(p consensus.Persist)
 	// readAsked is true while a linearizable read is open.
 	readAsked bool
 }
 
-// persistQueue bounds the batches that wait for the disk.
-const persistQueue = 1024
-
 // stepVoter feeds one event to the consensus node and carries out its
 // effects. Outcomes come before committed entries so that whoever proposed an
 // entry is known by the time that it is applied.
@@ -30,7 +27,7 @@
 	}
 	eff := c.voter.node.Step(now, ev)
 	if p, ok := eff.Persist.Get(); ok {
-		c.voter.persist <- p
+		c.voter.persist(p)
 	}
 	for _, m := range eff.Send {
 		c.send.consensus(m)
@@ -73,13 +70,6 @@
 	}
 }
 
-func (c *control) roleChanged(now time.Time, r consensus.RoleChange) {
-	c.log.Info("role changed", "role", r.Role.String(), "term", r.Term, "leader", r.Leader.Daemon)
-	c.leader = r.Leader.Daemon
-	c.dirty = true
-	c.stepWitness(now, witness.Leading{On: r.Role == consensus.Leader})
-}
-
 // leading reports whether this daemon leads and knows everything committed.
 func (c *control) leading() bool { return c.voter != nil && c.voter.node.Established() }
 
--- a/io/protocol/operator/client.go
+++ b/io/protocol/operator/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"time"
 
 	"papayaspoke/core/result"
 )
@@ -110,3 +111,23 @@
 	}
 	return raw, nil
 }
+
+// resendPause separates resends of a change whose outcome is open.
+const resendPause = 200 * time.Millisecond
+
+// Settle sends a change again, under its one id, until it is accepted or
+// refused or the context ends. Then it returns the last answer or error.
+func Settle(ctx context.Context, c *Client, ch Change) (Answer, error) {
+	for {
+		a, err := c.Change(ctx, ch)
+		code := result.Code(a.Code)
+		if err == nil && code != result.Pending && code != result.NoLeader {
+			return a, nil
+		}
+		select {
+		case <-ctx.Done():
+			return a, err
+		case <-time.After(resendPause):
+		}
+	}
+}
--- a/io/protocol/upstream/announcer.go
+++ b/io/protocol/upstream/announcer.go
@@ -29,6 +29,9 @@
 	used map[string]bool
 	// next is the index in known to try next.
 	next int
+	// owner is the address of the daemon that owns this upstream, or empty.
+	// One loop reports to it as soon as it is known.
+	owner string
 }
 
 // NewAnnouncer returns an announcer of self to the daemons, whose list is not
@@ -69,6 +72,14 @@
 func (a *Announcer) pick() string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.owner != "" && !a.used[a.owner] {
+		addr := a.owner
+		a.used[addr] = true
+		// If it does not answer, the next try is another daemon, which will
+		// name the owner of that time.
+		a.owner = ""
+		return addr
+	}
 	for range a.known {
 		addr := a.known[a.next%len(a.known)]
 		a.next++
@@ -80,6 +91,18 @@
 	return ""
 }
 
+// follow notes the owner and reports whether the loop at addr should move on
+// to it.
+func (a *Announcer) follow(addr, owner string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if owner == "" || owner == addr || a.used[owner] {
+		return false
+	}
+	a.owner = owner
+	return true
+}
+
 func (a *Announcer) release(addr string) {
 	a.mu.Lock()
 	delete(a.used, addr)
@@ -108,6 +131,9 @@
 			return
 		}
 		a.learn(w.Daemons)
+		if a.follow(addr, w.Owner) {
+			return
+		}
 		again := known && !w.Known
 		known = w.Known || !known
 		if again {
--- a/io/protocol/upstream/handler.go
+++ b/io/protocol/upstream/handler.go
@@ -34,7 +34,7 @@
 		wire.Refuse(w, result.From(err))
 		return
 	}
-	wire.WriteJSON(w, welcomeBody{Known: welcome.Known, Daemons: append([]string{}, welcome.Daemons...)})
+	wire.WriteJSON(w, welcomeBody{Known: welcome.Known, Daemons: append([]string{}, welcome.Daemons...), Owner: welcome.Owner})
 }
 
 func (h *Handler) serve(r *http.Request) (Welcome, error) {
--- a/io/protocol/upstream/message.go
+++ b/io/protocol/upstream/message.go
@@ -87,6 +87,9 @@
 	Known bool
 	// Daemons are addresses to report to next.
 	Daemons []string
+	// Owner is the address of the daemon that owns the upstream, which wants
+	// its reports at first hand; empty if there is none.
+	Owner string
 }
 
 // Order is what all orders to an engine have in common.
--- a/io/protocol/upstream/wire.go
+++ b/io/protocol/upstream/wire.go
@@ -51,6 +51,7 @@
 type welcomeBody struct {
 	Known   bool     `json:"known"`
 	Daemons []string `json:"daemons"`
+	Owner   string   `json:"owner,omitempty"`
 }
 
 type orderBody struct {
--- a/io/terminal/terminal.go
+++ b/io/terminal/terminal.go
@@ -19,8 +19,6 @@
 const (
 	// changeTimeout bounds one command, resends of a pending change included.
 	changeTimeout = 15 * time.Second
-	// resendPause separates resends of a pending change.
-	resendPause = 200 * time.Millisecond
 )
 
 // options are what the command line gave.
@@ -224,18 +222,7 @@
 func (s *session) send(c operator.Change) (operator.Answer, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
 	defer cancel()
-	for {
-		a, err := s.client.Change(ctx, c)
-		code := result.Code(a.Code)
-		if err == nil && code != result.Pending && code != result.NoLeader {
-			return a, nil
-		}
-		select {
-		case <-ctx.Done():
-			return a, err
-		case <-time.After(resendPause):
-		}
-	}
+	return operator.Settle(ctx, s.client, c)
 }
 
 func (s *session) printJSON(v any) error {
