--- a/io/daemon/owner.go
+++ b/io/daemon/owner.go
@@ -7,7 +7,6 @@
 	"papayaspoke/core/coordination/membership"
 	"papayaspoke/core/coordination/ownership"
 	"papayaspoke/core/ident"
-	"papayaspoke/core/result"
 	"papayaspoke/core/state"
 	"papayaspoke/io/protocol/upstream"
 )
@@ -85,18 +84,9 @@
 	return out
 }
 
-func (c *control) upstream(name ident.Upstream) (membership.Upstream, bool) {
-	for _, u := range c.members.Upstreams() {
-		if u.Name == name {
-			return u, true
-		}
-	}
-	return membership.Upstream{}, false
-}
-
 // acquired begins the ownership of a replica.
 func (c *control) acquired(now time.Time, o state.Ownership) {
-	u, ok := c.upstream(o.Upstream)
+	u, ok := c.members.Upstream(o.Upstream)
 	if !ok {
 		return
 	}
--- a/io/daemon/witness.go
+++ b/io/daemon/witness.go
@@ -104,7 +104,10 @@
 	c.state, c.term = st, s.Term
 	set, version := st.View().Witnesses()
 	c.witnessVersion = version
-	c.witnesses = witness.NewWitnesses(nil, set, s.Index)
+	c.witnesses = witness.Witnesses{}
+	if len(set) > 0 {
+		c.witnesses = witness.NewWitnesses(nil, set, s.Index)
+	}
 	c.applied(now, s.Index)
 }
 
