Membership by gossip of versioned records

Cause: there is no list of upstreams and no outside store; each daemon has to know all daemons and upstreams within seconds. Believing others' suspicions: a one-sided fault would take a healthy daemon out everywhere. Change: core/coordination/membership. Upstreams at 4,300 need a division by region.

--- /dev/null
+++ b/core/coordination/membership/record.go
@@ -0,0 +1,208 @@
+package membership
+
+import (
+	"cmp"
+	"encoding/binary"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"papayaspoke/core/ident"
+)
+
+// Version orders what a daemon or upstream has said of itself. A greater
+// incarnation wins over any sequence of an earlier one.
+type Version struct {
+	Incarnation ident.Incarnation
+	Sequence    uint64
+}
+
+// Compare orders versions by incarnation, then sequence.
+func (v Version) Compare(o Version) int {
+	if c := cmp.Compare(v.Incarnation, o.Incarnation); c != 0 {
+		return c
+	}
+	return cmp.Compare(v.Sequence, o.Sequence)
+}
+
+// Daemon is what a daemon says of itself. It is not changed once published.
+type Daemon struct {
+	// Name is not empty.
+	Name    ident.Daemon
+	Version Version
+	// Caller, Peer and Operator are addresses, an IP number and a port each.
+	// Peer is not empty; the others may be.
+	Caller, Peer, Operator string
+	DataCentre             ident.DataCentre
+	// Draining is set for good once the daemon is about to end.
+	Draining bool
+	// ReachableUntil is, of a draining daemon, when the last answer that
+	// named its address will have expired.
+	ReachableUntil time.Time
+	// Disk names the data folder; it is empty for a daemon without one.
+	Disk string
+	// Waiting and Running count requests.
+	Waiting, Running uint32
+	// Deadline is when the record expires unless a later version comes.
+	Deadline time.Time
+}
+
+// Kind tells what an upstream is.
+type Kind uint8
+
+const (
+	// Engine runs a base model with adapters.
+	Engine Kind = iota + 1
+	// PlainService is any other upstream.
+	PlainService
+)
+
+// Upstream is what a replica of an engine or a plain service says of itself.
+// It is not changed once published.
+type Upstream struct {
+	// Name is not empty.
+	Name    ident.Upstream
+	Version Version
+	Kind    Kind
+	// Model is set for engines only and Service for plain services only.
+	Model   ident.Model
+	Service ident.Service
+	// Address is an IP number and a port.
+	Address    string
+	DataCentre ident.DataCentre
+	// Slots and MaxBatch are limits of an engine: of adapters resident and of
+	// requests that run together.
+	Slots, MaxBatch uint32
+	// HonoursFence is true if orders with an old fencing number are refused.
+	HonoursFence bool
+	// Resumes is true if a cut stream can be resumed.
+	Resumes bool
+	// Idempotent is true if any call may be repeated.
+	Idempotent bool
+	// Residents are the adapters loaded, sorted.
+	Residents []ident.Adapter
+	// InFlight and Queue count requests; they lag.
+	InFlight, Queue uint32
+	// Prefixes are digests of prompt heads in its cache; they are hints.
+	Prefixes []uint64
+	// Leaving is set for good once no new work is to be sent.
+	Leaving bool
+	// Deadline is when the record expires unless a later version comes.
+	Deadline time.Time
+}
+
+// urgent reports whether r says something new, in place of old, that others
+// must know at once.
+func urgent(old, r Record) bool {
+	if r.Daemon != nil {
+		return !r.Daemon.sameButLoad(*old.Daemon)
+	}
+	return !r.Upstream.sameButLoad(*old.Upstream)
+}
+
+// sameButLoad reports whether d and o differ in nothing but counts, version
+// and deadline.
+func (d Daemon) sameButLoad(o Daemon) bool {
+	d.Version.Sequence, d.Waiting, d.Running, d.Deadline = o.Version.Sequence, o.Waiting, o.Running, o.Deadline
+	return d == o
+}
+
+// sameButLoad reports whether u and o differ in nothing but counts, hints,
+// version and deadline.
+func (u Upstream) sameButLoad(o Upstream) bool {
+	return u.Kind == o.Kind && u.Model == o.Model && u.Service == o.Service &&
+		u.Address == o.Address && u.DataCentre == o.DataCentre &&
+		u.Slots == o.Slots && u.MaxBatch == o.MaxBatch &&
+		u.HonoursFence == o.HonoursFence && u.Resumes == o.Resumes &&
+		u.Idempotent == o.Idempotent && u.Leaving == o.Leaving &&
+		u.Version.Incarnation == o.Version.Incarnation &&
+		slices.Equal(u.Residents, o.Residents)
+}
+
+// Key names a record.
+type Key struct {
+	// Upstream is true for an upstream's record, false for a daemon's.
+	Upstream bool
+	// Name is not empty.
+	Name string
+}
+
+func (k Key) compare(o Key) int {
+	if k.Upstream != o.Upstream {
+		if k.Upstream {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(k.Name, o.Name)
+}
+
+// Record is a daemon's or an upstream's: exactly one is not nil.
+type Record struct {
+	Daemon   *Daemon
+	Upstream *Upstream
+}
+
+// Key returns the name of the record.
+func (r Record) Key() Key {
+	if r.Daemon != nil {
+		return Key{Name: string(r.Daemon.Name)}
+	}
+	return Key{Upstream: true, Name: string(r.Upstream.Name)}
+}
+
+// Version returns the version of the record.
+func (r Record) Version() Version {
+	if r.Daemon != nil {
+		return r.Daemon.Version
+	}
+	return r.Upstream.Version
+}
+
+// Deadline returns when the record expires.
+func (r Record) Deadline() time.Time {
+	if r.Daemon != nil {
+		return r.Daemon.Deadline
+	}
+	return r.Upstream.Deadline
+}
+
+// Fixed parts of the sizes of messages, in bytes and rounded up.
+const (
+	daemonBytes   = 64
+	upstreamBytes = 80
+	versionBytes  = 28
+	messageBytes  = 40
+)
+
+// size is about what the record takes in a message, rounded up.
+func (r Record) size() int {
+	if d := r.Daemon; d != nil {
+		return daemonBytes + len(d.Name) + len(d.Caller) + len(d.Peer) + len(d.Operator) +
+			len(d.DataCentre) + len(d.Disk)
+	}
+	u := r.Upstream
+	n := upstreamBytes + len(u.Name) + len(u.Model) + len(u.Service) + len(u.Address) +
+		len(u.DataCentre) + 10*len(u.Prefixes)
+	for _, a := range u.Residents {
+		n += 6 + len(a.Name) + len(a.Version)
+	}
+	return n
+}
+
+// digest is that of a key and its version.
+func digest(k Key, v Version) uint64 {
+	h := fnv.New64a()
+	var num [17]byte
+	if k.Upstream {
+		num[0] = 1
+	}
+	binary.BigEndian.PutUint64(num[1:], uint64(v.Incarnation))
+	binary.BigEndian.PutUint64(num[9:], v.Sequence)
+	_, _ = h.Write(num[:])
+	_, _ = h.Write([]byte(k.Name))
+	return h.Sum64()
+}
+
+// bucketOf returns which bucket of the digests k belongs to.
+func bucketOf(k Key) int { return int(digest(k, Version{}) % buckets) }
