--- a/core/coordination/membership/directory.go
+++ b/core/coordination/membership/directory.go
@@ -64,3 +64,15 @@
 	}
 	return out
 }
+
+// Upstream returns the newest record of the upstream of that name.
+func (m *Membership) Upstream(name ident.Upstream) (Upstream, bool) {
+	it := m.table.items[Key{Upstream: true, Name: string(name)}]
+	if it == nil {
+		return Upstream{}, false
+	}
+	if held, ok := m.held[name]; ok {
+		return held, true
+	}
+	return *it.record.Upstream, true
+}
--- a/core/coordination/membership/record.go
+++ b/core/coordination/membership/record.go
@@ -77,8 +77,9 @@
 	HonoursFence bool
 	// Resumes is true if a cut stream can be resumed.
 	Resumes bool
-	// Idempotent is true if any call may be repeated.
-	Idempotent bool
+	// IdempotentPaths are the path prefixes of a service whose calls may be
+	// repeated.
+	IdempotentPaths []string
 	// Residents are the adapters loaded, sorted.
 	Residents []ident.Adapter
 	// InFlight and Queue count requests; they lag.
@@ -114,7 +115,7 @@
 		u.Address == o.Address && u.DataCentre == o.DataCentre &&
 		u.Slots == o.Slots && u.MaxBatch == o.MaxBatch &&
 		u.HonoursFence == o.HonoursFence && u.Resumes == o.Resumes &&
-		u.Idempotent == o.Idempotent && u.Leaving == o.Leaving &&
+		slices.Equal(u.IdempotentPaths, o.IdempotentPaths) && u.Leaving == o.Leaving &&
 		u.Version.Incarnation == o.Version.Incarnation &&
 		slices.Equal(u.Residents, o.Residents)
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -67,7 +67,7 @@
 		metrics: scrape.New(map[string]string{"daemon": string(s.Name())}),
 	}
 	d.view.Store(&view{state: state.New().View()})
-	conns := client.New()
+	conns := client.NewFrom(s.Peer().Addr())
 	d.upstreams = upstream.NewClient(conns)
 	d.forward = caller.NewForwarder(conns, d.self, s.Token())
 	d.peers = &peers{
--- a/io/daemon/orders.go
+++ b/io/daemon/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"net"
+	"net/netip"
 	"time"
 
 	"papayaspoke/core/coordination/dispatch"
@@ -175,7 +176,8 @@
 
 // dials reports whether a new connection to an upstream succeeds.
 func (d *Daemon) dials(addr string) bool {
-	c, err := net.DialTimeout("tcp", addr, dialTimeout)
+	from := net.TCPAddrFromAddrPort(netip.AddrPortFrom(d.settings.Peer().Addr(), 0))
+	c, err := (&net.Dialer{Timeout: dialTimeout, LocalAddr: from}).Dial("tcp", addr)
 	if err != nil {
 		return false
 	}
--- a/io/daemon/tick.go
+++ b/io/daemon/tick.go
@@ -64,7 +64,7 @@
 	for _, r := range c.view.Runners() {
 		m, ok := c.members.Daemon(r.Owner)
 		if ok && m.Version.Incarnation > r.Incarnation {
-			c.orders.commit(state.Orphan{Owner: r.Owner, Incarnation: r.Incarnation})
+			c.orders.commit(state.Orphan(r))
 		}
 	}
 }
--- a/io/daemon/witness.go
+++ b/io/daemon/witness.go
@@ -59,12 +59,12 @@
 // apply carries out committed entries in order.
 func (c *control) apply(now time.Time, entries []entry.Entry) {
 	for _, e := range entries {
-		c.applyOne(e)
+		c.applyOne(now, e)
 	}
 	c.applied(now, entries[len(entries)-1].Index)
 }
 
-func (c *control) applyOne(e entry.Entry) {
+func (c *control) applyOne(now time.Time, e entry.Entry) {
 	c.term = e.Term
 	var cmd state.Command
 	if e.Kind == entry.Command {
@@ -81,6 +81,7 @@
 	o := c.state.Apply(e.Index, cmd)
 	c.noteWitnesses(before, e.Index)
 	c.proposals.applied(e.Index, o)
+	c.noteQuarantine(now, cmd)
 }
 
 // noteWitnesses keeps the old set beside the new one until the change is
--- a/io/protocol/peer/client.go
+++ b/io/protocol/peer/client.go
@@ -61,20 +61,20 @@
 
 // Witness makes one witness exchange.
 func (c *Client) Witness(ctx context.Context, addr string, r witness.Request) (witness.Response, error) {
-	resp, err := c.peer(addr).Witness(ctx, connect.NewRequest(WitnessRequestToWire(r)))
+	resp, err := c.peer(addr).Witness(ctx, connect.NewRequest(EncodeWitnessRequest(r)))
 	if err != nil {
 		return witness.Response{}, err
 	}
-	return WitnessResponseFromWire(resp.Msg)
+	return DecodeWitnessResponse(resp.Msg)
 }
 
 // Gossip makes one membership exchange.
 func (c *Client) Gossip(ctx context.Context, addr string, r membership.Request) (membership.Response, error) {
-	resp, err := c.peer(addr).Gossip(ctx, connect.NewRequest(GossipRequestToWire(r)))
+	resp, err := c.peer(addr).Gossip(ctx, connect.NewRequest(EncodeGossipRequest(time.Now(), r)))
 	if err != nil {
 		return membership.Response{}, err
 	}
-	return GossipResponseFromWire(resp.Msg)
+	return DecodeGossipResponse(time.Now(), resp.Msg)
 }
 
 // Propose asks the daemon at addr to commit an encoded command. An error that
--- a/io/protocol/peer/service.go
+++ b/io/protocol/peer/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/subtle"
 	"net/http"
+	"time"
 
 	"connectrpc.com/connect"
 	"papayaspoke/core/coordination/consensus"
@@ -78,7 +79,7 @@
 }
 
 func (h service) Witness(ctx context.Context, r *connect.Request[peerpb.WitnessRequest]) (*connect.Response[peerpb.WitnessResponse], error) {
-	req, err := WitnessRequestFromWire(r.Msg)
+	req, err := DecodeWitnessRequest(r.Msg)
 	if err != nil {
 		return nil, malformed(err)
 	}
@@ -86,11 +87,11 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	return connect.NewResponse(WitnessResponseToWire(resp)), nil
+	return connect.NewResponse(EncodeWitnessResponse(resp)), nil
 }
 
 func (h service) Gossip(ctx context.Context, r *connect.Request[peerpb.GossipRequest]) (*connect.Response[peerpb.GossipResponse], error) {
-	req, err := GossipRequestFromWire(r.Msg)
+	req, err := DecodeGossipRequest(time.Now(), r.Msg)
 	if err != nil {
 		return nil, malformed(err)
 	}
@@ -98,7 +99,7 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	return connect.NewResponse(GossipResponseToWire(resp)), nil
+	return connect.NewResponse(EncodeGossipResponse(time.Now(), resp)), nil
 }
 
 func (h service) Propose(ctx context.Context, r *connect.Request[peerpb.ProposeRequest]) (*connect.Response[peerpb.ProposeResponse], error) {
--- a/io/protocol/peer/witness_test.go
+++ b/io/protocol/peer/witness_test.go
@@ -15,8 +15,8 @@
 	"papayaspoke/io/protocol/peer/peerpb"
 )
 
-// wire sends m through its bytes into out.
-func wire(t testing.TB, m, out proto.Message) {
+// overWire sends m through its bytes into out.
+func overWire(t testing.TB, m, out proto.Message) {
 	t.Helper()
 	data, err := proto.Marshal(m)
 	assert.NilError(t, err)
@@ -31,7 +31,7 @@
 		Vector: vector, Entries: entries, Want: true,
 	}
 	reqMessage := &peerpb.WitnessRequest{}
-	wire(t, EncodeWitnessRequest(req), reqMessage)
+	overWire(t, EncodeWitnessRequest(req), reqMessage)
 	gotReq, err := DecodeWitnessRequest(reqMessage)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, gotReq, req)
@@ -41,7 +41,7 @@
 		Vector: vector, Entries: entries, Snapshot: witness.Snapshot{Index: 3, Term: 1, Data: []byte("z")},
 	}
 	respMessage := &peerpb.WitnessResponse{}
-	wire(t, EncodeWitnessResponse(resp), respMessage)
+	overWire(t, EncodeWitnessResponse(resp), respMessage)
 	gotResp, err := DecodeWitnessResponse(respMessage)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, gotResp, resp)
@@ -75,7 +75,7 @@
 			{Upstream: &membership.Upstream{
 				Name: "e", Version: membership.Version{Incarnation: 1, Sequence: 2}, Kind: membership.Engine, Model: "m", Service: "s",
 				Address: "127.0.0.1:4", DataCentre: "marousi", Slots: 3, MaxBatch: 4, HonoursFence: true, Resumes: true,
-				Idempotent: true, Residents: []ident.Adapter{{Name: "x", Version: "1"}}, InFlight: 5, Queue: 6,
+				IdempotentPaths: []string{"/lookup"}, Residents: []ident.Adapter{{Name: "x", Version: "1"}}, InFlight: 5, Queue: 6,
 				Prefixes: []uint64{7}, Leaving: true, Deadline: now.Add(2 * time.Second),
 			}},
 		},
@@ -91,7 +91,7 @@
 	now := time.Unix(1_000_000, 0)
 	ahead := now.Add(time.Hour)
 	message := &peerpb.GossipRequest{}
-	wire(t, EncodeGossipRequest(now, gossipRequest(now)), message)
+	overWire(t, EncodeGossipRequest(now, gossipRequest(now)), message)
 	got, err := DecodeGossipRequest(ahead, message)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, gossipRequest(ahead))
@@ -101,7 +101,7 @@
 		Suspicions: gossipRequest(now).Suspicions, Want: []membership.Key{{Name: "d"}},
 	}
 	respMessage := &peerpb.GossipResponse{}
-	wire(t, EncodeGossipResponse(now, resp), respMessage)
+	overWire(t, EncodeGossipResponse(now, resp), respMessage)
 	gotResp, err := DecodeGossipResponse(now, respMessage)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, gotResp, resp)
--- a/io/transport/client/client.go
+++ b/io/transport/client/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -37,12 +38,22 @@
 }
 
 // New returns a client.
-func New() *Client {
-	return &Client{pooled: transport(false), fresh: transport(true)}
+func New() *Client { return NewFrom(netip.Addr{}) }
+
+// NewFrom returns a client whose connections come from a local address, so
+// that others know by it who is calling. The zero address leaves the choice
+// to the kernel.
+func NewFrom(local netip.Addr) *Client {
+	var from net.Addr
+	if local.IsValid() {
+		from = net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))
+	}
+	return &Client{pooled: transport(from, false), fresh: transport(from, true)}
 }
 
-func transport(fresh bool) *http.Transport {
+func transport(from net.Addr, fresh bool) *http.Transport {
 	d := &net.Dialer{
+		LocalAddr:       from,
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3},
 		Control:         setUserTimeout,
