--- a/core/result/result.go
+++ b/core/result/result.go
@@ -41,6 +41,10 @@
 	RetryBudget      Code = 207
 	LoadFailed       Code = 208
 	OwnerUnreachable Code = 209
+	Deposed          Code = 210
+	Restarted        Code = 211
+	NotResident      Code = 212
+	Pinned           Code = 213
 
 	Unknown        Code = 301
 	StillRunning   Code = 302
@@ -48,6 +52,7 @@
 	StreamCut      Code = 304
 	TimedOut       Code = 305
 	WrongAnswer    Code = 306
+	Unconfirmed    Code = 307
 
 	VersionConflict Code = 401
 	Pending         Code = 402
