Replicated log: fewer heartbeats, a caller ahead of the node is asked again

Cause: the control loop compacts at the witness's applied index, which may be ahead of the voter's commit index; the node ignored that and never asked again. Every commit was followed by a heartbeat to each member, though witnesses learn of commits from the leader and nothing waits for a follower to.

--- a/core/coordination/consensus/event.go
+++ b/core/coordination/consensus/event.go
@@ -53,8 +53,8 @@
 	return Event{kind: eventChange, number: number, change: c}
 }
 
-// Compact hands over the state after the entry at index, which has been given
-// out as committed. The log up to it may be dropped.
+// Compact hands over the state after the entry at index. The log up to it may
+// be dropped. It has no effect if the node has not given out that entry yet.
 func Compact(index uint64, data []byte) Event {
 	return Event{kind: eventCompact, number: index, data: data}
 }
--- a/core/coordination/consensus/join_test.go
+++ b/core/coordination/consensus/join_test.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -253,3 +254,12 @@
 		assert.Equal(t, ms.IsVoter(d), i == 1)
 	}
 }
+
+// TestOrphanProbes checks that a node that no leader talks to makes itself
+// known.
+func TestOrphanProbes(t *testing.T) {
+	n, now := scripted(5)
+	synced(n, now, n.Step(now, from(vb, Message{Kind: Heartbeat, Term: 6})))
+	assert.Assert(t, !slices.Contains(kinds(n.Step(now.Add(goneAfter-1), Tick()).Send), Probe))
+	assert.Assert(t, slices.Contains(kinds(n.Step(now.Add(goneAfter), Tick()).Send), Probe))
+}
--- a/core/coordination/consensus/node.go
+++ b/core/coordination/consensus/node.go
@@ -124,7 +124,7 @@
 	snapshot bool
 	// synced messages are sent once this step's Persist is synced.
 	synced []Message
-	// announce is true if the commit index of the leader grew.
+	// announce is true if a new round of heartbeats begins.
 	announce bool
 }
 
--- a/core/coordination/consensus/propose.go
+++ b/core/coordination/consensus/propose.go
@@ -170,13 +170,15 @@
 }
 
 func (n *Node) onCompact(_ time.Time, ev Event) {
+	// If the caller is ahead of the node, it is asked again at the next commit.
+	n.asked = false
 	i := ev.number
 	if i <= n.snapshot.Index || i > n.applied {
 		return
 	}
 	term, _ := n.log.term(i)
 	n.snapshot = Snapshot{Index: i, Term: term, Members: n.membersAt(i), Data: ev.data}
-	n.size, n.asked = 0, false
+	n.size = 0
 	n.step.snapshot = true
 	if i > trailingEntries {
 		n.log.compact(i - trailingEntries)
--- a/core/coordination/consensus/replicate.go
+++ b/core/coordination/consensus/replicate.go
@@ -233,7 +233,6 @@
 	if t, _ := n.log.term(i); t != n.hard.Term {
 		return
 	}
-	n.step.announce = true
 	n.commitTo(i)
 	n.startReads()
 }
