Ownership tests: mixtures of faults, guards removed

Cause: with one fixed rate per fault, common faults hid the others. Ruled out: one fixed mixture (found a missing wait, not a missing check of freshness). Change: each run draws its own rates; links between pairs fail; proposals travel twice and for seconds.

--- a/core/coordination/ownership/ownership_test.go
+++ b/core/coordination/ownership/ownership_test.go
@@ -31,43 +31,63 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSim(t)
 		dice := rapid.Uint64().Draw(t, "dice")
+		mixture := drawFaults(t)
 		chaos := func(n int) bool {
 			dice = dice*6364136223846793005 + 1442695040888963407
 			return int(dice>>33)%n == 0
 		}
-		for range 400 {
-			s.disturb(chaos)
+		for range 300 {
+			s.disturb(mixture, chaos)
 			s.step(chaos)
 		}
 		s.heal()
-		for range 400 {
-			s.step(func(int) bool { return false })
+		for range 300 {
+			s.step(func(n int) bool { return n == 40 })
 		}
 		s.allOwned()
 	})
 }
 
+// faults holds for each fault after how many ticks, on average, it starts or
+// ends at a daemon. Each run draws its own mixture, as a fault that is common
+// in one run would hide others.
+type faults struct {
+	freeze, cut, slow, unlink, suspect, drain, lead int
+}
+
+func drawFaults(t *rapid.T) faults {
+	draw := func(name string) int { return rapid.SampledFrom([]int{15, 40, 150, 1 << 30}).Draw(t, name) }
+	return faults{
+		freeze: draw("freeze"), cut: draw("cut"), slow: draw("slow"), unlink: draw("unlink"),
+		suspect: draw("suspect"), drain: 5 * draw("drain"), lead: 5 * draw("lead"),
+	}
+}
+
 // disturb starts and ends faults.
-func (s *sim) disturb(chaos func(int) bool) {
+func (s *sim) disturb(f faults, chaos func(int) bool) {
 	for i, n := range s.nodes {
-		if chaos(40) {
-			n.frozen = !n.frozen
-		}
-		if chaos(40) {
-			n.cut = !n.cut
-		}
-		if chaos(40) {
+		flip(&n.frozen, chaos(f.freeze))
+		flip(&n.cut, chaos(f.cut))
+		flip(&n.slow, chaos(f.slow))
+		if chaos(f.suspect) {
 			s.suspect[n.name] = !s.suspect[n.name]
 		}
-		if chaos(300) {
+		for _, o := range s.nodes[i+1:] {
+			if chaos(f.unlink) {
+				s.links[link(n, o)] = !s.links[link(n, o)]
+			}
+		}
+		if chaos(f.drain) {
 			s.drain(n.name)
 		}
-		if chaos(200) && !n.frozen {
+		if chaos(f.lead) && !n.frozen {
 			s.lead(i)
 		}
 	}
 }
 
+func flip(b *bool, now bool) { *b = *b != now }
+
 func (s *sim) drain(name ident.Daemon) {
 	version, drained := s.nodes[s.leader].state.View().Drained(name)
 	var edit state.Edit = state.DrainDaemon{Name: name}
@@ -76,14 +96,18 @@
 	}
 	id := ident.Change(fmt.Sprintf("drain-%d", s.changes))
 	s.changes++
-	s.network = append(s.network, state.Change{ID: id, Expected: version, Edit: edit})
+	s.network = append(s.network, packet{
+		command: state.Change{ID: id, Expected: version, Edit: edit},
+		arrives: s.now,
+	})
 }
 
 func (s *sim) heal() {
 	s.network = nil
+	clear(s.links)
 	s.nodes[s.leader].applyUpTo(s.log, uint64(len(s.log)))
 	for _, n := range s.nodes {
-		n.frozen, n.cut = false, false
+		n.frozen, n.cut, n.slow = false, false, false
 		s.suspect[n.name] = false
 		if _, drained := s.nodes[s.leader].state.View().Drained(n.name); drained {
 			s.drain(n.name)
@@ -247,6 +271,15 @@
 	assert.Assert(t, got >= want && got <= want+300*time.Millisecond, "%s after %v, want %v", what, got, want)
 }
 
+// TestWaitCoversDrift lets the leader's clock run 4 % fast and the former
+// owner's 4 % slow.
+func TestWaitCoversDrift(t *testing.T) {
+	leader, owner := 1.04, 0.96
+	waited := float64(ownership.Wait) / leader
+	fresh := float64(ownership.Freshness) / owner
+	assert.Assert(t, waited >= fresh, "the owner may write for %v, the leader waits %v", time.Duration(fresh), time.Duration(waited))
+}
+
 func TestLeftUpstreamIsReleased(t *testing.T) {
 	l := newLeader(2, 1)
 	l.run(time.Second)
@@ -255,6 +288,22 @@
 	assert.Equal(t, len(l.state.View().Owners()), 0)
 }
 
+func TestWaitBeginsWhenVisible(t *testing.T) {
+	l := newLeader(2, 1)
+	l.run(time.Second)
+	l.cluster.Daemons[0].Suspect = true
+	assert.Equal(t, len(l.run(100*time.Millisecond)), 1)
+	revoked := l.state.Index()
+	step := func(visible uint64) int {
+		l.now = l.now.Add(ownership.Wait)
+		return len(l.assigner.Step(l.now, l.state.View(), visible, l.cluster))
+	}
+	assert.Equal(t, step(revoked-1), 0)
+	assert.Equal(t, step(revoked-1), 0)
+	assert.Equal(t, step(revoked), 0, "the wait began before the revocation was visible")
+	assert.Equal(t, step(revoked), 1)
+}
+
 func TestNewLeaderWaitsAnew(t *testing.T) {
 	l := newLeader(2, 1)
 	l.run(time.Second)
--- a/core/coordination/ownership/sim_test.go
+++ b/core/coordination/ownership/sim_test.go
@@ -31,9 +31,10 @@
 	asked time.Time
 	// replies are the applied indexes that the poll has brought.
 	replies map[ident.Daemon]uint64
-	// frozen daemons do nothing; cut ones hear nothing.
-	frozen, cut bool
-	holder      *ownership.Holder
+	// frozen daemons do nothing; cut ones hear nothing; slow ones get no new
+	// entries by themselves.
+	frozen, cut, slow bool
+	holder            *ownership.Holder
 	// assigner is not nil while the daemon believes that it leads.
 	assigner *ownership.Assigner
 	// acks are the applied indexes that the leader has heard of.
@@ -48,18 +49,26 @@
 	nodes []*node
 	log   []state.Command
 	// network holds proposals on their way to the leader, in any order.
-	network []state.Command
+	network []packet
 	leader  int
 	// changes counts the operators' changes.
-	changes   int
+	changes int
+	// links holds the pairs of daemons that cannot reach each other.
+	links     map[[2]ident.Daemon]bool
 	suspect   map[ident.Daemon]bool
 	upstreams []ownership.Upstream
 	// fences is the largest fence that any write passed under.
 	fences map[ident.Upstream]ident.Fence
 }
 
+// packet is a proposal on its way.
+type packet struct {
+	command state.Command
+	arrives time.Time
+}
+
 func newSim(t *rapid.T) *sim {
-	s := &sim{t: t, now: start, suspect: map[ident.Daemon]bool{}, fences: map[ident.Upstream]ident.Fence{}}
+	s := &sim{t: t, now: start, suspect: map[ident.Daemon]bool{}, links: map[[2]ident.Daemon]bool{}, fences: map[ident.Upstream]ident.Fence{}}
 	for i := range daemonsAll {
 		name := ident.Daemon(fmt.Sprintf("d%d", i))
 		s.nodes = append(s.nodes, &node{
@@ -110,49 +119,70 @@
 	for _, n := range s.nodes {
 		n.clock = n.clock.Add(time.Duration(float64(tick) * n.rate))
 	}
-	s.deliver(chaos)
+	s.deliver()
 	for _, n := range s.nodes {
 		if !n.frozen {
 			s.run(n, chaos)
 		}
-		s.write()
 	}
+	s.write()
 }
 
-// deliver lets proposals arrive, in any order, some of them twice.
-func (s *sim) deliver(chaos func(n int) bool) {
+// send puts proposals on their way; one in three travels twice, and one in
+// four takes long.
+func (s *sim) send(commands []state.Command, chaos func(n int) bool) {
+	for _, c := range commands {
+		s.network = append(s.network, s.packet(c, chaos))
+		if chaos(3) {
+			s.network = append(s.network, s.packet(c, chaos))
+		}
+	}
+}
+
+func (s *sim) packet(c state.Command, chaos func(n int) bool) packet {
+	p := packet{command: c, arrives: s.now}
+	for chaos(2) {
+		p.arrives = p.arrives.Add(tick)
+	}
+	if chaos(4) {
+		for !chaos(40) {
+			p.arrives = p.arrives.Add(tick)
+		}
+	}
+	return p
+}
+
+// deliver appends to the log what has arrived at the leader.
+func (s *sim) deliver() {
 	if s.nodes[s.leader].frozen || s.nodes[s.leader].cut {
 		return
 	}
-	var later []state.Command
-	for _, c := range s.network {
-		if chaos(3) {
-			later = append(later, c)
+	var later []packet
+	for _, p := range s.network {
+		if p.arrives.After(s.now) {
+			later = append(later, p)
 			continue
 		}
-		s.log = append(s.log, c)
-		if chaos(8) {
-			later = append(later, c)
-		}
+		s.log = append(s.log, p.command)
 	}
 	s.network = later
 	s.nodes[s.leader].applyUpTo(s.log, uint64(len(s.log)))
 }
 
 func (s *sim) run(n *node, chaos func(n int) bool) {
-	if !n.cut && !chaos(3) {
+	if !n.cut && !n.slow && !chaos(3) {
 		n.applyUpTo(s.log, uint64(len(s.log)))
 	}
 	s.poll(n, chaos)
 	commands, _ := n.holder.Step(n.clock, n.state.View())
-	s.network = append(s.network, commands...)
+	s.send(commands, chaos)
 	if n.assigner == nil {
 		return
 	}
 	s.gather(n, chaos)
 	commands = n.assigner.Step(n.clock, n.state.View(), visible(n.acks), s.cluster())
 	if n == s.nodes[s.leader] {
-		s.network = append(s.network, commands...)
+		s.send(commands, chaos)
 	}
 }
 
@@ -163,7 +193,7 @@
 	}
 	for _, w := range s.nodes {
 		_, heard := n.replies[w.name]
-		if !heard && reach(n, w) && !chaos(3) {
+		if !heard && s.reach(n, w) && !chaos(3) {
 			n.replies[w.name] = w.state.Index()
 		}
 	}
@@ -178,12 +208,19 @@
 	n.fresh, n.asked = n.asked.Add(ownership.Freshness), time.Time{}
 }
 
-func reach(a, b *node) bool { return a == b || !a.cut && !b.cut && !b.frozen }
+// reach reports whether a gets an answer from b.
+func (s *sim) reach(a, b *node) bool {
+	return a == b || !a.cut && !b.cut && !b.frozen && !s.links[link(a, b)]
+}
+
+func link(a, b *node) [2]ident.Daemon {
+	return [2]ident.Daemon{min(a.name, b.name), max(a.name, b.name)}
+}
 
 // gather lets the leader hear how far the witnesses have applied.
 func (s *sim) gather(n *node, chaos func(n int) bool) {
 	for _, w := range s.nodes {
-		if reach(n, w) && !chaos(3) {
+		if s.reach(n, w) && !chaos(3) {
 			n.acks[w.name] = w.state.Index()
 		}
 	}
