Driver of non-idempotent requests, keeper of the ledger

Cause: at most once through any daemon; not run only when it was not run. Ruled out: answering 'not run' without a committed Abandon; 'no leader' as not run without asking the daemon's own confirmed view (unconfirmed instead); a list of abandoned attempts per entry: it is bounded, so a ninth abandon broke the invariant in TestAtMostOnce after 136 runs. Seen red: TestAtMostOnce found after 310 runs that a caller was told not run by one daemon while a copy of the request that it had sent to another before was granted and sent afterwards. A Begin now names the log index its daemon had seen at arrival, and an Abandon bars all that arrived before it (code 210); that also covers late Begins of abandoned attempts, so the list went. Change: core/coordination/ledger, Begin.Seen, Entry.Barred.

--- /dev/null
+++ b/core/coordination/ledger/keeper.go
@@ -0,0 +1,66 @@
+package ledger
+
+import (
+	"slices"
+	"time"
+
+	"papayaspoke/core/state"
+)
+
+const (
+	// OrphanGrace is how long a run of a daemon must be missing before its
+	// attempts become unknown.
+	OrphanGrace = 5 * time.Second
+	// ExpireInterval is the least time between two Expires.
+	ExpireInterval = 10 * time.Second
+)
+
+// Keeper tidies the ledger while its daemon leads. A daemon that becomes leader
+// makes a new one.
+type Keeper struct {
+	// missing holds when a run with running attempts was first found missing.
+	missing map[state.Runner]time.Time
+	// retry is when an Orphan may be proposed again.
+	retry map[state.Runner]time.Time
+	// expire is when an Expire may be proposed again.
+	expire time.Time
+}
+
+// NewKeeper returns the keeper of a daemon that has just become leader.
+func NewKeeper() *Keeper {
+	return &Keeper{missing: map[state.Runner]time.Time{}, retry: map[state.Runner]time.Time{}}
+}
+
+// Step returns the commands to propose. Now is monotonic, wall the wall clock;
+// alive holds the runs of daemons that are in the cluster and not suspected.
+func (k *Keeper) Step(now, wall time.Time, v *state.View, alive []state.Runner) []state.Command {
+	var out []state.Command
+	missing, retry := map[state.Runner]time.Time{}, map[state.Runner]time.Time{}
+	for _, r := range v.Runners() {
+		if slices.Contains(alive, r) {
+			continue
+		}
+		since, ok := k.missing[r]
+		if !ok {
+			since = now
+		}
+		missing[r], retry[r] = since, k.retry[r]
+		if now.Sub(since) < OrphanGrace || now.Before(retry[r]) {
+			continue
+		}
+		retry[r] = now.Add(ProposalRetry)
+		out = append(out, state.Orphan(r))
+	}
+	k.missing, k.retry = missing, retry
+	return append(out, k.expireUntil(now, wall, v)...)
+}
+
+func (k *Keeper) expireUntil(now, wall time.Time, v *state.View) []state.Command {
+	until := wall.Add(-Retention - ClockBound)
+	earliest, ok := v.Earliest()
+	if now.Before(k.expire) || !ok || earliest.After(until) {
+		return nil
+	}
+	k.expire = now.Add(ExpireInterval)
+	return []state.Command{state.Expire{Until: until}}
+}
--- a/core/coordination/ownership/ownership_test.go
+++ b/core/coordination/ownership/ownership_test.go
@@ -16,10 +16,10 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
 	if err := flag.Set("rapid.seed", "1"); err != nil {
 		panic(err)
 	}
+	flag.Parse()
 	os.Exit(m.Run())
 }
 
--- a/core/result/result.go
+++ b/core/result/result.go
@@ -41,6 +41,7 @@
 	RetryBudget      Code = 207
 	LoadFailed       Code = 208
 	OwnerUnreachable Code = 209
+	Superseded       Code = 210
 
 	Unknown        Code = 301
 	StillRunning   Code = 302
--- a/core/result/table.go
+++ b/core/result/table.go
@@ -28,6 +28,7 @@
 	{RetryBudget, "budget", "retry budget is spent", "Retry after the time given.", 503, true, true},
 	{LoadFailed, "load", "adapter could not be loaded", "Retry later; check the weight store.", 503, true, true},
 	{OwnerUnreachable, "owner", "owner of the replica is unreachable", "Use another of the addresses given.", 503, true, true},
+	{Superseded, "superseded", "another copy with this key was told not run", "Send it again with the same key if the work is still wanted.", 503, true, true},
 
 	{Unknown, "unknown", "outcome is unknown", "Do not assume either; look at the service's own record.", 502, false, false},
 	{StillRunning, "running", "same key is still running", "Ask again with the same key.", 409, false, true},
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -84,6 +84,9 @@
 	// Attempt is the same in every resend of this command and differs from
 	// that of any other Begin.
 	Attempt ident.Attempt
+	// Seen is the log index of the daemon's view when the request arrived. A
+	// copy that arrived before another was told not run does not run.
+	Seen uint64
 	// At is the wall time of the first proposal.
 	At time.Time
 	// Deadline is the wall time after which the request is not sent.
--- a/core/state/ledger.go
+++ b/core/state/ledger.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"strings"
 	"time"
 
@@ -68,16 +67,18 @@
 	// Owner and OwnerIncarnation name the process that holds the attempt.
 	Owner            ident.Daemon
 	OwnerIncarnation ident.Incarnation
-	// Attempt is the only one that may have sent the request.
+	// Attempt is the only one that may have sent the request, if the phase is
+	// not Abandoned.
 	Attempt ident.Attempt
 	// Deadline is that of the attempt.
 	Deadline time.Time
 	Phase    Phase
 	// Answer is set in phase Finished.
 	Answer Answer
-	// Lost holds abandoned attempts, the newest last; a Begin of one of them
-	// that arrives late is refused.
-	Lost []ident.Attempt
+	// Barred is the index at which a copy was last told not run. An attempt
+	// whose copy arrived before that is not granted, hence neither is one that
+	// was abandoned.
+	Barred uint64
 }
 
 // due orders entries by their deadline.
@@ -117,6 +118,21 @@
 // ExpiredUntil returns the latest Until of any Expire.
 func (v *View) ExpiredUntil() time.Time { return v.expired }
 
+// Earliest returns the earliest deadline of a ledger entry or end of a
+// quarantine, and whether there is any.
+func (v *View) Earliest() (time.Time, bool) {
+	d, _, ok := v.deadlines.Min()
+	at := time.Unix(0, d.at).UTC()
+	if v.quarantined.Len() == 0 {
+		return at, ok
+	}
+	end := v.QuarantinedUntil(v.soonest())
+	if ok && at.Before(end) {
+		return at, true
+	}
+	return end, true
+}
+
 // Runner names one run of a daemon that has running attempts.
 type Runner struct {
 	Owner       ident.Daemon
@@ -169,7 +185,7 @@
 	k := EntryKey{Scope: c.Scope, Key: c.Key}
 	old, ok := s.v.entries.Get(k)
 	if !ok {
-		return s.v.grant(c, nil)
+		return s.v.grant(c, Entry{})
 	}
 	if old.Digest != "" && old.Digest != c.Digest {
 		return failed(result.New(result.KeyReused, "key %q", c.Key))
@@ -187,9 +203,8 @@
 	)
 }
 
-// grant lets an attempt run. Lost holds the attempts that were abandoned
-// before.
-func (v *View) grant(c Begin, lost []ident.Attempt) Outcome {
+// grant lets an attempt run; old is the key's abandoned entry, if any.
+func (v *View) grant(c Begin, old Entry) Outcome {
 	if err := v.admit(c); err != nil {
 		return failed(err)
 	}
@@ -201,7 +216,7 @@
 		Attempt:          c.Attempt,
 		Deadline:         c.Deadline,
 		Phase:            Running,
-		Lost:             lost,
+		Barred:           old.Barred,
 	}
 	v.put(e)
 	return Outcome{Granted: true, Entry: e}
@@ -243,13 +258,17 @@
 	return out
 }
 
+// restart answers a Begin for a key whose entry is abandoned.
 func (v *View) restart(c Begin, old *Entry) Outcome {
-	if slices.Contains(old.Lost, c.Attempt) {
-		out := failed(result.New(result.ChangeRefused, "attempt at key %q was abandoned", c.Key))
-		out.Entry = old
+	if c.Seen < old.Barred {
+		e := *old
+		e.Barred = v.index
+		v.put(&e)
+		out := failed(result.New(result.Superseded, "key %q was told not run at %d", c.Key, old.Barred))
+		out.Entry = &e
 		return out
 	}
-	return v.grant(c, old.Lost)
+	return v.grant(c, *old)
 }
 
 func (c Finish) apply(s *State) Outcome {
@@ -301,7 +320,9 @@
 	if old.Attempt == c.Attempt {
 		e.Phase = Abandoned
 	}
-	e.Lost = lose(old.Lost, c.Attempt)
+	if e.Phase == Abandoned {
+		e.Barred = s.v.index
+	}
 	s.v.put(&e)
 	return Outcome{Entry: &e}
 }
@@ -311,23 +332,11 @@
 	if !c.Deadline.After(v.expired) || v.entries.Len() >= MaxEntries {
 		return Outcome{}
 	}
-	e := &Entry{Key: k, Attempt: c.Attempt, Deadline: c.Deadline, Phase: Abandoned, Lost: lose(nil, c.Attempt)}
+	e := &Entry{Key: k, Attempt: c.Attempt, Deadline: c.Deadline, Phase: Abandoned, Barred: v.index}
 	v.put(e)
 	return Outcome{Entry: e}
 }
 
-// lose returns a new slice of at most maxAbandoned attempts that ends in a.
-func lose(lost []ident.Attempt, a ident.Attempt) []ident.Attempt {
-	out := make([]ident.Attempt, 0, len(lost)+1)
-	for _, l := range lost {
-		if l != a {
-			out = append(out, l)
-		}
-	}
-	out = append(out, a)
-	return out[max(0, len(out)-maxAbandoned):]
-}
-
 func (c Orphan) apply(s *State) Outcome {
 	from := ownerKey{owner: c.Owner, incarnation: c.Incarnation}
 	for k := range s.v.running.From(from) {
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -1,7 +1,6 @@
 package state
 
 import (
-	"slices"
 	"time"
 
 	"papayaspoke/core/ident"
@@ -229,11 +228,11 @@
 }
 
 func (v *View) checkEntry(k EntryKey, e *Entry) *result.Error {
-	if e.Key != k || e.Phase < Running || e.Phase > Abandoned || e.Attempt == "" {
+	if e.Key != k || e.Phase < Running || e.Phase > Abandoned || e.Attempt == "" || e.Barred > v.index {
 		return damaged("ledger entry %q is invalid", k.Key)
 	}
-	if e.Phase == Abandoned && !slices.Contains(e.Lost, e.Attempt) {
-		return damaged("ledger entry %q is abandoned by nobody", k.Key)
+	if e.Phase == Abandoned && e.Barred == 0 {
+		return damaged("ledger entry %q is abandoned, but bars nobody", k.Key)
 	}
 	if !e.Deadline.After(v.expired) {
 		return damaged("ledger entry %q has expired", k.Key)
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -142,6 +142,11 @@
 	finish := func(attempt string, size int) state.Finish {
 		return state.Finish{Scope: "booking", Key: "k", Attempt: ident.Attempt(attempt), Answer: state.Answer{Status: 200, Body: make([]byte, size)}}
 	}
+	seen := func(attempt string, index uint64) state.Begin {
+		b := begin(attempt, "x")
+		b.Seen = index
+		return b
+	}
 	abandon := func(attempt string) state.Abandon {
 		return state.Abandon{Scope: "booking", Key: "k", Attempt: ident.Attempt(attempt), Deadline: noon.Add(time.Minute)}
 	}
@@ -163,12 +168,15 @@
 		"unknown to itself":  {[]state.Command{begin("a", "x"), orphan, begin("a", "x")}, result.Unknown, false, state.Unknown},
 		"late answer":        {[]state.Command{begin("a", "x"), orphan, finish("a", 1), begin("b", "x")}, result.OK, false, state.Finished},
 		"other run":          {[]state.Command{begin("a", "x"), state.Orphan{Owner: "d", Incarnation: 8}, begin("a", "x")}, result.OK, true, state.Running},
-		"abandoned":          {[]state.Command{begin("a", "x"), abandon("a"), begin("b", "x")}, result.OK, true, state.Running},
-		"abandoned, late":    {[]state.Command{begin("a", "x"), abandon("a"), begin("a", "x")}, result.ChangeRefused, false, state.Abandoned},
-		"abandoned first":    {[]state.Command{abandon("a"), begin("a", "x")}, result.ChangeRefused, false, state.Abandoned},
+		"abandoned":          {[]state.Command{begin("a", "x"), abandon("a"), seen("b", 2)}, result.OK, true, state.Running},
+		"superseded":         {[]state.Command{begin("a", "x"), abandon("a"), seen("b", 1)}, result.Superseded, false, state.Abandoned},
+		"superseded again":   {[]state.Command{begin("a", "x"), abandon("a"), seen("b", 1), seen("c", 2)}, result.Superseded, false, state.Abandoned},
+		"resent after that":  {[]state.Command{begin("a", "x"), abandon("a"), seen("b", 1), seen("c", 3)}, result.OK, true, state.Running},
+		"abandoned, late":    {[]state.Command{begin("a", "x"), abandon("a"), begin("a", "x")}, result.Superseded, false, state.Abandoned},
+		"abandoned first":    {[]state.Command{abandon("a"), begin("a", "x")}, result.Superseded, false, state.Abandoned},
 		"abandoned by other": {[]state.Command{begin("a", "x"), abandon("b"), begin("c", "x")}, result.StillRunning, false, state.Running},
 		"abandoned too late": {[]state.Command{begin("a", "x"), finish("a", 1), abandon("a")}, result.ChangeRefused, false, 0},
-		"orphan, abandoned":  {[]state.Command{begin("a", "x"), orphan, abandon("a"), begin("b", "x")}, result.OK, true, state.Running},
+		"orphan, abandoned":  {[]state.Command{begin("a", "x"), orphan, abandon("a"), seen("b", 3)}, result.OK, true, state.Running},
 		"expired":            {[]state.Command{begin("a", "x"), state.Expire{Until: noon.Add(time.Hour)}, begin("b", "x")}, result.KeyExpired, false, 0},
 		"past":               {[]state.Command{past}, result.DeadlineHopeless, false, 0},
 		"far":                {[]state.Command{far}, result.DeadlineTooFar, false, 0},
--- a/core/state/validate.go
+++ b/core/state/validate.go
@@ -32,8 +32,6 @@
 	MaxBodies = 64 << 20
 	// MaxHorizon is how far a deadline may lie after the proposal.
 	MaxHorizon = time.Hour
-	// maxAbandoned bounds the attempts that an entry remembers as abandoned.
-	maxAbandoned = 8
 )
 
 // Bounds of a class target in milliseconds.
--- a/io/protocol/peer/state_test.go
+++ b/io/protocol/peer/state_test.go
@@ -16,10 +16,10 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
 	if err := flag.Set("rapid.seed", "1"); err != nil {
 		panic(err)
 	}
+	flag.Parse()
 	os.Exit(m.Run())
 }
 
@@ -80,7 +80,7 @@
 	func(t *rapid.T) state.Command {
 		return state.Begin{
 			Scope: word(t), Key: ident.Key(word(t)), Digest: "x", Owner: ident.Daemon(word(t)),
-			OwnerIncarnation: ident.Incarnation(number(t)), Attempt: ident.Attempt(word(t)), At: moment(t), Deadline: moment(t),
+			OwnerIncarnation: ident.Incarnation(number(t)), Attempt: ident.Attempt(word(t)), Seen: number(t), At: moment(t), Deadline: moment(t),
 		}
 	},
 	func(t *rapid.T) state.Command {
--- a/io/protocol/peer/statecommand.go
+++ b/io/protocol/peer/statecommand.go
@@ -154,6 +154,7 @@
 		Owner:            string(c.Owner),
 		OwnerIncarnation: uint64(c.OwnerIncarnation),
 		Attempt:          string(c.Attempt),
+		Seen:             c.Seen,
 		At:               timeToWire(c.At),
 		Deadline:         timeToWire(c.Deadline),
 	}
@@ -260,6 +261,7 @@
 		Owner:            ident.Daemon(p.GetOwner()),
 		OwnerIncarnation: ident.Incarnation(p.GetOwnerIncarnation()),
 		Attempt:          ident.Attempt(p.GetAttempt()),
+		Seen:             p.GetSeen(),
 		At:               timeFromWire(p.GetAt()),
 		Deadline:         timeFromWire(p.GetDeadline()),
 	}
--- a/io/protocol/peer/statesnapshot.go
+++ b/io/protocol/peer/statesnapshot.go
@@ -168,7 +168,7 @@
 		Deadline:         timeToWire(e.Deadline),
 		Phase:            uint32(e.Phase),
 		Answer:           answerToWire(e.Answer),
-		Lost:             convert(e.Lost, func(a ident.Attempt) string { return string(a) }),
+		Barred:           e.Barred,
 	}
 }
 
@@ -182,7 +182,7 @@
 		Deadline:         timeFromWire(p.GetDeadline()),
 		Phase:            phaseFromWire(p.GetPhase()),
 		Answer:           answerFromWire(p.GetAnswer()),
-		Lost:             convert(p.GetLost(), func(s string) ident.Attempt { return ident.Attempt(s) }),
+		Barred:           p.GetBarred(),
 	}
 }
 
