--- a/core/result/result.go
+++ b/core/result/result.go
@@ -45,6 +45,7 @@
 	Restarted        Code = 211
 	NotResident      Code = 212
 	Pinned           Code = 213
+	Superseded       Code = 214
 
 	Unknown        Code = 301
 	StillRunning   Code = 302
--- /dev/null
+++ b/e2e/control_test.go
@@ -0,0 +1,236 @@
+package e2e
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"papayaspoke/core/result"
+	"papayaspoke/io/protocol/operator"
+	"papayaspoke/io/standin/cluster"
+)
+
+// A change that was accepted survives the kill of the leader that accepted it
+// and is in force at the others.
+func TestLeaderKilled(t *testing.T) {
+	w := start(t)
+	v := w.version()
+	leader := w.leader(w.Names()...)
+	a, err := w.setTarget(w.ctx, "c1", v, 3000, leader)
+	assert.NilError(t, err)
+	assert.Equal(t, a.Code, 0, a.Detail)
+	w.Daemon(leader).Kill()
+	rest := others(w, leader)
+	for _, n := range rest {
+		text, _ := w.target(n)
+		assert.Equal(t, text, "3s")
+	}
+	b, err := w.setTarget(w.ctx, "c2", a.Version, 4000, rest...)
+	assert.NilError(t, err)
+	assert.Equal(t, b.Code, 0, b.Detail)
+	assert.NilError(t, w.Start(leader))
+	w.eventually("the killed leader catches up", func() bool {
+		d, err := w.Dump(w.ctx, leader)
+		return err == nil && d.Version >= b.Version && d.Standing
+	})
+}
+
+// A leader that was frozen and wakes has lost its place: what others accepted
+// meanwhile is in force, and its own late change meets a conflict.
+func TestLeaderFrozenAndWoken(t *testing.T) {
+	w := start(t)
+	v := w.version()
+	leader := w.leader(w.Names()...)
+	w.Daemon(leader).Freeze()
+	a, err := w.setTarget(w.ctx, "c1", v, 3000, others(w, leader)...)
+	assert.NilError(t, err)
+	assert.Equal(t, a.Code, 0, a.Detail)
+	w.Daemon(leader).Thaw()
+	b, err := w.setTarget(w.ctx, "c2", v, 5000, leader)
+	assert.NilError(t, err)
+	assert.Equal(t, result.Code(b.Code), result.VersionConflict)
+	w.eventually("the woken daemon has the change", func() bool {
+		text, _ := w.target(leader)
+		return text == "3s"
+	})
+}
+
+// A VM that is cut off silently stops taking work by itself, and takes it
+// again, under the newest configuration, once the cut has healed.
+func TestCutOffVMStopsTakingWork(t *testing.T) {
+	w := start(t)
+	v := w.version()
+	w.engine("engine-1")
+	w.served("glyfada", "notes@v1")
+	cut := others(w, w.leader(w.Names()...))[0]
+	w.Cut(cut)
+	w.eventually("the cut VM refuses", func() bool {
+		_, err := w.Complete(w.ctx, cut, "urgent", "notes@v1", "x")
+		return err != nil && strings.Contains(err.Error(), `"code":204`)
+	})
+	a, err := w.setTarget(w.ctx, "c1", v, 3000, others(w, cut)...)
+	assert.NilError(t, err)
+	assert.Equal(t, a.Code, 0, a.Detail)
+	_, err = w.Complete(w.ctx, cut, "urgent", "notes@v1", "x")
+	assert.ErrorContains(t, err, `"code":204`)
+	w.Heal(cut)
+	w.served(cut, "notes@v1")
+	text, _ := w.target(cut)
+	assert.Equal(t, text, "3s")
+}
+
+// A voter loses its disk and is repaired without help; a second VM fails
+// right after. Nothing that was accepted is lost.
+func TestSecondVMFailsAfterRepair(t *testing.T) {
+	w := start(t)
+	v := w.version()
+	names := w.Names()
+	lost, second := names[0], names[1]
+	a, err := w.setTarget(w.ctx, "c1", v, 3000)
+	assert.NilError(t, err)
+	assert.Equal(t, a.Code, 0, a.Detail)
+	w.Daemon(lost).Kill()
+	assert.NilError(t, w.RemoveDisk(lost))
+	assert.NilError(t, w.Start(lost))
+	w.eventually("the empty disk is a voter again", func() bool { return voters(w, names[2]) == 3 && voters(w, lost) == 3 })
+	w.Daemon(second).Kill()
+	for _, n := range []string{lost, names[2]} {
+		w.eventually("the change is there", func() bool { text, _ := w.target(n); return text == "3s" })
+	}
+	b, err := w.setTarget(w.ctx, "c2", a.Version, 4000, lost, names[2])
+	assert.NilError(t, err)
+	assert.Equal(t, b.Code, 0, b.Detail)
+}
+
+func voters(w *world, through string) int {
+	n := 0
+	t, err := w.Operator(through).List(w.ctx, "voters")
+	if err != nil {
+		return 0
+	}
+	for _, r := range t.Rows {
+		if r[2] == "voter" {
+			n++
+		}
+	}
+	return n
+}
+
+// All daemons restart at once after hundreds of changes; the last accepted
+// version is in force afterwards.
+func TestRestartAfterHundredsOfChanges(t *testing.T) {
+	w := start(t)
+	v := w.version()
+	const changes = 300
+	for i := range changes {
+		a, err := w.setTarget(w.ctx, fmt.Sprintf("c%d", i), v, uint64(1000+i))
+		assert.NilError(t, err)
+		assert.Equal(t, a.Code, 0, a.Detail)
+		v = a.Version
+	}
+	for range 2 {
+		for _, n := range w.Names() {
+			w.Daemon(n).Kill()
+		}
+		assert.NilError(t, w.Start())
+		for _, n := range w.Names() {
+			w.eventually("the last change is there", func() bool {
+				d, err := w.Dump(w.ctx, n)
+				return err == nil && d.Version >= v
+			})
+			text, _ := w.target(n)
+			assert.Equal(t, text, (time.Duration(1000+changes-1) * time.Millisecond).String())
+		}
+	}
+}
+
+// Two operators race with equal versions through different daemons: one wins,
+// the other gets the current version; a resend gets the first answer.
+func TestOperatorsRace(t *testing.T) {
+	w := start(t)
+	v := w.version()
+	const rounds = 10
+	for i := range rounds {
+		answers := make([]operator.Answer, 2)
+		errs := make([]error, 2)
+		done := make(chan int)
+		for j, through := range w.Names()[:2] {
+			go func() {
+				answers[j], errs[j] = w.setTarget(w.ctx, fmt.Sprintf("r%d-%d", i, j), v, uint64(1000+10*i+j), through)
+				done <- j
+			}()
+		}
+		<-done
+		<-done
+		assert.NilError(t, errs[0])
+		assert.NilError(t, errs[1])
+		winner := 0
+		if answers[0].Code != 0 {
+			winner = 1
+		}
+		assert.Equal(t, answers[winner].Code, 0, answers[winner].Detail)
+		assert.Equal(t, result.Code(answers[1-winner].Code), result.VersionConflict)
+		again, err := w.setTarget(w.ctx, fmt.Sprintf("r%d-%d", i, winner), v, uint64(1000+10*i+winner), w.Names()[2])
+		assert.NilError(t, err)
+		assert.DeepEqual(t, again.Version, answers[winner].Version)
+		v = answers[winner].Version
+	}
+}
+
+// With two of three disks gone, idempotent work goes on under the last
+// accepted configuration; changes and bookings are refused as not run.
+func TestDiskQuorumLost(t *testing.T) {
+	specs := append([]cluster.Spec{}, cluster.ThreeDaemons...)
+	for i := range 4 {
+		specs = append(specs, cluster.Spec{Name: fmt.Sprintf("entry-%d", i), DataCentre: "piraeus"})
+	}
+	w := start(t, specs...)
+	w.bookings()
+	w.engine("engine-1")
+	w.served("entry-0", "notes@v1")
+	w.eventually("all are witnesses", func() bool {
+		l, err := w.Operator().List(w.ctx, "witnesses")
+		return err == nil && len(l.Rows) == len(specs)
+	})
+	owner := ownerOf(w, "engine-1")
+	killed := 0
+	for _, n := range []string{"piraeus", "marousi", "glyfada"} {
+		if n != owner && killed < 2 {
+			w.Daemon(n).Kill()
+			killed++
+		}
+	}
+	w.served("entry-0", "notes@v1")
+	r, err := w.Book(w.ctx, "entry-0", "booking", "k1", "{}")
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(r.Body, `"ran":false`) || strings.Contains(r.Body, `"code":301`), r.Body)
+	runs, err := cluster.Runs(w.ctx, w.service)
+	assert.NilError(t, err)
+	assert.Equal(t, runs["k1"], 0)
+	ctx, cancel := cluster.Within(3 * time.Second)
+	defer cancel()
+	a, err := w.setTarget(ctx, "late", 1, 1000, "entry-0")
+	assert.Assert(t, err != nil || a.Code != 0)
+}
+
+func ownerOf(w *world, upstream string) string {
+	w.t.Helper()
+	var owner string
+	w.eventually("an owner", func() bool {
+		for _, n := range w.Names() {
+			d, err := w.Dump(w.ctx, n)
+			if err != nil {
+				continue
+			}
+			for _, r := range d.Replicas {
+				if r.Upstream == upstream && r.Claimed {
+					owner = n
+				}
+			}
+		}
+		return owner != ""
+	})
+	return owner
+}
