--- /dev/null
+++ b/io/protocol/caller/client.go
@@ -0,0 +1,67 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"time"
+
+	"papayaspoke/core/result"
+	"papayaspoke/io/protocol/wire"
+	"papayaspoke/io/transport/client"
+)
+
+// maxDirectory is the largest answer about addresses in bytes.
+const maxDirectory = 1 << 20
+
+// Client is the caller's side of the dialect, for load generators and tests.
+type Client struct {
+	forward *Forwarder
+}
+
+// NewClient returns a caller over the given connections.
+func NewClient(c *client.Client) *Client { return &Client{forward: NewForwarder(c, "")} }
+
+// Infer asks the daemon at addr for text.
+func (c *Client) Infer(ctx context.Context, addr string, x Infer) (*Answer, error) {
+	return c.forward.Infer(ctx, addr, x)
+}
+
+// Call calls a plain service through the daemon at addr.
+func (c *Client) Call(ctx context.Context, addr string, x Call) (*Reply, error) {
+	return c.forward.Call(ctx, addr, x)
+}
+
+// Addresses asks the daemon at addr which addresses to use.
+func (c *Client) Addresses(ctx context.Context, addr string, q Query) (Directory, error) {
+	v := url.Values{}
+	if !q.Adapter.IsZero() {
+		v.Set("adapter", q.Adapter.String())
+	}
+	if q.Class != "" {
+		v.Set("class", string(q.Class))
+	}
+	if q.Service != "" {
+		v.Set("service", string(q.Service))
+	}
+	a, err := c.forward.client.Do(ctx, client.Exchange{
+		Method: http.MethodGet, URL: "http://" + addr + "/v1/addresses?" + v.Encode(), Idempotent: true,
+	})
+	if err != nil {
+		return Directory{}, unreachable(err, addr)
+	}
+	defer a.Body().Close()
+	if a.Status() != http.StatusOK {
+		return Directory{}, wire.DecodeError(a.Header(), a.Body(), result.Unreachable, time.Now())
+	}
+	raw, err := a.ReadAll(maxDirectory)
+	if err != nil {
+		return Directory{}, unreachable(err, addr)
+	}
+	var b directoryBody
+	if err := json.Unmarshal(raw, &b); err != nil || b.MaxAge < 0 {
+		return Directory{}, result.New(result.WrongAnswer, "answer about addresses is malformed")
+	}
+	return Directory{Addresses: b.Addresses, Expiry: time.Now().Add(time.Duration(b.MaxAge) * time.Millisecond)}, nil
+}
--- a/io/protocol/caller/forward.go
+++ b/io/protocol/caller/forward.go
@@ -15,6 +15,7 @@
 	"papayaspoke/core/result"
 	"papayaspoke/io/protocol/wire"
 	"papayaspoke/io/transport/client"
+	"papayaspoke/io/transport/server"
 )
 
 const (
@@ -77,12 +78,13 @@
 		end()
 		return nil, result.New(result.WrongAnswer, "asked for %s, answered by %q", x.Adapter, got)
 	}
-	if got := a.Header().Get(RequestHeader); got != string(x.ID) {
+	id := a.Header().Get(RequestHeader)
+	if f.self != "" && id != string(x.ID) {
 		end()
-		return nil, result.New(result.WrongAnswer, "asked with request %s, answered to %q", x.ID, got)
+		return nil, result.New(result.WrongAnswer, "asked with request %s, answered to %q", x.ID, id)
 	}
 	a.LimitSilence(func(now time.Time) time.Time { return now.Add(silence) })
-	r := &eventReader{lines: bufio.NewReaderSize(io.LimitReader(a.Body(), 1<<30), 4096), id: string(x.ID)}
+	r := &eventReader{lines: bufio.NewReaderSize(io.LimitReader(a.Body(), 1<<30), 4096), id: id}
 	up := ident.Upstream(a.Header().Get(UpstreamHeader))
 	return NewAnswer(x.Adapter, x.Model, up, r.next, end), nil
 }
@@ -94,11 +96,13 @@
 			h.Set(name, value)
 		}
 	}
-	set(RequestHeader, string(m.ID))
-	set(HopHeader, string(f.self))
+	if f.self != "" {
+		set(RequestHeader, string(m.ID))
+		set(HopHeader, string(f.self))
+		set(AttemptHeader, string(m.Attempt))
+	}
 	set(ClassHeader, string(m.Class))
 	set(KeyHeader, string(m.Key))
-	set(AttemptHeader, string(m.Attempt))
 	if !m.Deadline.IsZero() {
 		set(DeadlineHeader, strconv.FormatInt(m.Deadline.Sub(now).Milliseconds(), 10))
 	}
@@ -141,7 +145,11 @@
 		return nil, result.New(result.Unknown, "answer of the service: %w", err)
 	}
 	up := ident.Upstream(a.Header().Get(UpstreamHeader))
-	return &Reply{Status: a.Status(), Header: passedOn(a.Header()), Body: b, Upstream: up}, nil
+	status := a.Status()
+	if n, err := strconv.Atoi(a.Header().Get(server.StatusHeader)); err == nil && n/100 == status/100 {
+		status = n
+	}
+	return &Reply{Status: status, Header: passedOn(a.Header()), Body: b, Upstream: up}, nil
 }
 
 // unreachable tells apart what provably did not reach the other daemon.
--- a/io/protocol/caller/handler.go
+++ b/io/protocol/caller/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -39,10 +40,19 @@
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if err := h.serve(w, r); err != nil {
-		wire.WriteError(w, err, h.now())
+		wire.WriteError(w, numbered(err), h.now())
 	}
 }
 
+// numbered gives the end of a request's own deadline its number.
+func numbered(err error) error {
+	var e *result.Error
+	if !errors.As(err, &e) && errors.Is(err, context.DeadlineExceeded) {
+		return result.New(result.TimedOut, "%w", err)
+	}
+	return err
+}
+
 // serve returns an error only if nothing was written.
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request) error {
 	path := r.URL.EscapedPath()
@@ -163,7 +173,7 @@
 		e.done()
 		return nil
 	}
-	e.failed(err)
+	e.failed(numbered(err))
 	server.Cut(w)
 	return nil
 }
--- /dev/null
+++ b/io/protocol/caller/helper_test.go
@@ -0,0 +1,7 @@
+package caller_test
+
+import "papayaspoke/core/prompt"
+
+func prompted() prompt.Prompt {
+	return prompt.Chat([]prompt.Message{{Role: "system", Content: "be brief"}, {Role: "user", Content: "a letter"}})
+}
--- a/io/standin/engine/options.go
+++ b/io/standin/engine/options.go
@@ -86,3 +86,13 @@
 	}
 	return b.String()
 }
+
+// Verify reports whether text is a whole answer of the stand-in that the
+// adapter made for p, or else what is wrong with it.
+func Verify(a ident.Adapter, p prompt.Prompt, text string) error {
+	n := strings.Count(text, " ")
+	if want := Expected(a, p, n); n == 0 || text != want {
+		return fmt.Errorf("answer of %d pieces is not that of %s: %.80q", n, name(a), text)
+	}
+	return nil
+}
