--- a/io/protocol/caller/caller_test.go
+++ b/io/protocol/caller/caller_test.go
@@ -305,7 +305,7 @@
 				got = x
 				return tc.answer, tc.err
 			}})
-			f := caller.NewForwarder(client.New(), "d1")
+			f := caller.NewForwarder(client.New(), "d1", "secret")
 			x := caller.Infer{Adapter: letters, MaxTokens: 4, Prompt: prompted()}
 			x.Meta = caller.Meta{ID: "r1", Class: "urgent", Deadline: time.Now().Add(time.Minute)}
 			a, err := f.Infer(t.Context(), addr, x)
@@ -335,7 +335,7 @@
 		}
 		return &caller.Reply{Status: 409, Body: append([]byte(x.Path+" "), x.Body...), Upstream: "b1"}, nil
 	}})
-	f := caller.NewForwarder(client.New(), "d1")
+	f := caller.NewForwarder(client.New(), "d1", "secret")
 	x := caller.Call{Service: "booking", Method: http.MethodPost, Path: "/turns?d=1", Body: []byte("turn")}
 	x.Meta = caller.Meta{ID: "r1", Key: "k1", Attempt: "a1"}
 	r, err := f.Call(t.Context(), addr, x)
--- a/io/protocol/caller/client.go
+++ b/io/protocol/caller/client.go
@@ -21,7 +21,7 @@
 }
 
 // NewClient returns a caller over the given connections.
-func NewClient(c *client.Client) *Client { return &Client{forward: NewForwarder(c, "")} }
+func NewClient(c *client.Client) *Client { return &Client{forward: NewForwarder(c, "", "")} }
 
 // Infer asks the daemon at addr for text.
 func (c *Client) Infer(ctx context.Context, addr string, x Infer) (*Answer, error) {
