--- a/core/coordination/dispatch/policy.go
+++ b/core/coordination/dispatch/policy.go
@@ -38,12 +38,10 @@
 
 // Estimate is what a request still has before it.
 type Estimate struct {
-	// Wait is the time until the request can be sent.
-	Wait time.Duration
-	// Run is the time from then to the end of the answer.
-	Run time.Duration
-	// Samples is the number of requests that the estimate rests on.
-	Samples int
+	// Start is when the request can be sent.
+	Start time.Time
+	// End is when the answer will be whole; not before Start.
+	End time.Time
 }
 
 // Policy is what varies between ways to dispatch. The functions are pure.
@@ -114,18 +112,26 @@
 	return best
 }
 
+// compareCandidates puts replicas that can run the request at once first, the
+// fullest of them before the others. Without any, it follows routing, which
+// has weighed a further copy against the wait.
 func compareCandidates(a, b Candidate) int {
-	if c := cmp.Or(compareTrue(a.Resident, b.Resident), compareTrue(a.room() > 0, b.room() > 0)); c != 0 {
+	now := func(c Candidate) bool { return c.Resident && c.room() > 0 }
+	if c := compareTrue(now(a), now(b)); c != 0 {
 		return c
 	}
-	if a.room() > 0 {
+	if now(a) {
 		return cmp.Or(
 			cmp.Compare(a.room(), b.room()),
 			compareTrue(a.Prefix, b.Prefix),
 			compareTrue(a.Routed, b.Routed),
 		)
 	}
-	return cmp.Or(cmp.Compare(b.room(), a.room()), compareTrue(a.Routed, b.Routed))
+	return cmp.Or(
+		compareTrue(a.Routed, b.Routed),
+		compareTrue(a.Resident, b.Resident),
+		cmp.Compare(b.room(), a.room()),
+	)
 }
 
 // compareTrue orders true before false.
@@ -172,12 +178,10 @@
 	return best
 }
 
-// hopeless tells that the deadline has passed or that the class is known to
-// take longer than the time that is left.
-func hopeless(now time.Time, r Request, e Estimate) bool {
-	return now.Add(e.Wait + e.Run).After(r.Deadline)
-}
+// hopeless tells that the answer will not be whole by the deadline.
+func hopeless(_ time.Time, r Request, e Estimate) bool { return e.End.After(r.Deadline) }
 
+// expired tells that the deadline has passed.
 func expired(now time.Time, r Request, _ Estimate) bool { return now.After(r.Deadline) }
 
 func saves(n int, _ Idle) float64 { return float64(n) }
--- a/core/coordination/dispatch/world_test.go
+++ b/core/coordination/dispatch/world_test.go
@@ -11,6 +11,7 @@
 
 	"papayaspoke/core/coordination/dispatch"
 	"papayaspoke/core/coordination/dispatch/budget"
+	"papayaspoke/core/coordination/dispatch/quarantine"
 	"papayaspoke/core/coordination/dispatch/routing"
 	"papayaspoke/core/ident"
 	"papayaspoke/core/option"
@@ -285,7 +286,7 @@
 		w.after(hop, func() {
 			for _, to := range w.daemons {
 				if to != dm {
-					w.step(to, dispatch.Quarantines{Entries: []quarantineEntry{ef.Entry}})
+					w.step(to, dispatch.Quarantines{Entries: []quarantine.Entry{ef.Entry}})
 				}
 			}
 		})
@@ -306,6 +307,8 @@
 		}
 	})
 	w.send(w.holder.Ask(w.now, a))
+	admit := w.holder.Admit(w.now)
+	w.after(hop, func() { w.step(dm, dispatch.Admitted{Share: admit}) })
 }
 
 func (w *world) send(ps []budget.Permit) {
@@ -334,9 +337,11 @@
 	if c.ended || c.entry.lost {
 		return
 	}
-	q := routing.Query{Model: model, Adapter: c.req.Adapter, DataCentre: c.entry.centre, Exclude: c.exclude, Suspect: c.suspect}
+	q := routing.Query{Model: model, Adapter: c.req.Adapter, DataCentre: c.entry.centre, Exclude: c.exclude, Digest: c.req.Digest}
+	q.Suspect = c.suspect || c.entry.d.Verdict(w.now, c.req.Digest) == quarantine.Suspect
 	choice, ok := c.entry.dir.Route(q)
 	if !ok {
+		w.stats.cause(c, "no route")
 		w.end(c, refusedEnd)
 		return
 	}
@@ -371,7 +376,8 @@
 		w.reroute(c)
 		return
 	}
-	c.noteWait(w, strings.Contains(ef.Err.Detail(), "did not arrive"))
+	w.stats.cause(c, cause(ef.Err))
+	c.noteWait(w, strings.Contains(ef.Err.Detail(), "did not arrive") || strings.Contains(ef.Err.Detail(), "be loaded"))
 	w.end(c, refusedEnd)
 }
 
@@ -380,11 +386,12 @@
 	if c.entry.lost {
 		return
 	}
-	if ef.Retry && !c.req.Retried {
-		c.req.Retried, c.suspect = true, true
+	if ef.Retry && len(c.exclude) < 3 {
+		c.req.Retried, c.suspect = true, ef.Err.Code() == result.UpstreamFailed && w.rules.dispatch.Isolates
 		w.reroute(c)
 		return
 	}
+	w.stats.cause(c, cause(ef.Err))
 	w.end(c, failedEnd)
 }
 
