Dispatch: the aim that is missed is a test of its own and listed

Cause: TestAimStalls is red for one workload at one size; listed as a whole it would hide the others. The bound stays.

--- a/core/coordination/dispatch/aims_test.go
+++ b/core/coordination/dispatch/aims_test.go
@@ -35,9 +35,22 @@
 // TestAimStalls checks that the 95th percentile of the stalls is at most a
 // third of naive's.
 func TestAimStalls(t *testing.T) {
-	eachPair(t, hard, func(t *testing.T, _ size, p, n *stats) {
-		assert.Check(t, 3*p.stall(0.95) <= n.stall(0.95), "%v, naive %v", p.stall(0.95), n.stall(0.95))
-	})
+	eachPair(t, []string{"2 broadcast flood", "4 scan in a flood", "5 empty restarts"}, checkStalls)
+}
+
+// TestAimStallsAfterShiftMattressCare and its sibling check the same after a
+// shift of popularity. They are tests of their own because one of them is
+// known to be red.
+func TestAimStallsAfterShiftMattressCare(t *testing.T) {
+	checkPair(t, sizes[0], "3 popularity shift", checkStalls)
+}
+
+func TestAimStallsAfterShiftVeiligZitje(t *testing.T) {
+	checkPair(t, sizes[1], "3 popularity shift", checkStalls)
+}
+
+func checkStalls(t *testing.T, _ size, p, n *stats) {
+	assert.Check(t, 3*p.stall(0.95) <= n.stall(0.95), "%v, naive %v", p.stall(0.95), n.stall(0.95))
 }
 
 // TestAimTargets checks that no class has fewer requests within target than
@@ -81,12 +94,16 @@
 	})
 }
 
-func eachPair(t *testing.T, names []string, check func(t *testing.T, s size, p, n *stats)) {
+type pairCheck func(t *testing.T, s size, p, n *stats)
+
+func eachPair(t *testing.T, names []string, check pairCheck) {
 	for _, s := range sizes {
 		for _, name := range names {
-			t.Run(s.name+" "+name, func(t *testing.T) {
-				check(t, s, measure()[cell{s.name, name, "policy"}].stats, measure()[cell{s.name, name, "naive"}].stats)
-			})
+			t.Run(s.name+" "+name, func(t *testing.T) { checkPair(t, s, name, check) })
 		}
 	}
 }
+
+func checkPair(t *testing.T, s size, name string, check pairCheck) {
+	check(t, s, measure()[cell{s.name, name, "policy"}].stats, measure()[cell{s.name, name, "naive"}].stats)
+}
--- a/core/coordination/dispatch/load.go
+++ b/core/coordination/dispatch/load.go
@@ -26,7 +26,7 @@
 
 // bestWant returns the most useful load for p.
 func (d *Dispatcher) bestWant(now time.Time, p *replica) (want, bool) {
-	if !p.usable() || p.draining || p.load != nil || p.uncertain() {
+	if p.waiting == 0 || !p.usable() || p.draining || p.load != nil || p.uncertain() {
 		return want{}, false
 	}
 	lines := d.coldLines(now, p)
--- a/core/coordination/dispatch/workloads_test.go
+++ b/core/coordination/dispatch/workloads_test.go
@@ -225,11 +225,10 @@
 	if wl.arrivals != nil {
 		wl.arrivals(g)
 	}
+	slices.SortStableFunc(g.calls, func(a, b *call) int { return a.req.Arrived.Compare(b.req.Arrived) })
 	w := newWorld(s, r, seed)
 	w.stats.from = epoch.Add(warmUp)
-	for _, c := range g.calls {
-		w.after(c.req.Arrived.Sub(w.now), func() { w.arrive(c) })
-	}
+	w.arriveAll(g.calls)
 	if wl.faults != nil {
 		wl.faults(w)
 	}
