Budget: a holder that is polled; requests carry their suspicion

Cause: a holder that can only answer polls would grant permits to owners that are not asking; they would start late and break the limit of a second. Change: Holder.Poll grants only to the owner that polls, better wants of others keep their place for 250 ms; Holder.Release. Request.Suspect lets a daemon pass on that a request was in flight at a crash. All additive.

--- a/core/coordination/dispatch/budget/budget.go
+++ b/core/coordination/dispatch/budget/budget.go
@@ -16,6 +16,8 @@
 	Lifetime = 6 * time.Second
 	// HeardWithin is how long an owner counts as heard after its last Ask.
 	HeardWithin = 2 * time.Second
+	// pollWithin is how long the wants of an owner that polls keep their place.
+	pollWithin = 250 * time.Millisecond
 	// FallbackAfter is how long an owner waits without an answer before it
 	// uses its share. It exceeds HeardWithin by more than a second, so that
 	// no second holds grants made before the holder kept the share back
@@ -154,23 +156,59 @@
 func (h *Holder) InTransit() int { return len(h.granted) }
 
 // Ask notes what an owner wants and returns the permits that can be granted
-// now, to whichever owner.
+// now, to whichever owner. It is for a holder that can send permits to owners
+// at any time; see [Holder.Poll] for one that can only answer.
 func (h *Holder) Ask(now time.Time, a Ask) []Permit {
+	h.note(now, a)
+	return h.Tick(now)
+}
+
+// Poll notes what an owner wants and returns the permits that can be granted
+// to it now. Wants of other owners that rank higher keep their place, as long
+// as these owners have polled within pollWithin. A holder that is polled is
+// told of returned permits by [Holder.Release] and needs no ticks.
+func (h *Holder) Poll(now time.Time, a Ask) []Permit {
+	h.note(now, a)
+	h.expire(now)
+	if h.quiet(now) {
+		return nil
+	}
+	room, kept := h.room(now), 0
+	var out []Permit
+	for _, c := range h.ranked(now) {
+		if len(out)+kept >= room {
+			break
+		}
+		if c.owner != a.Owner {
+			if now.Sub(h.owners[c.owner].heard) < pollWithin {
+				kept++
+			}
+			continue
+		}
+		out = append(out, h.grant(now, c.owner, c.want))
+	}
+	return out
+}
+
+// note replaces what is known of an owner.
+func (h *Holder) note(now time.Time, a Ask) {
 	o := h.owners[a.Owner]
 	if o == nil {
-		return h.Tick(now)
+		return
 	}
 	h.countMisses(now, o, a.Misses)
 	o.heard, o.fallback = now, a.Fallback
 	o.foreign = max(0, a.Loading-h.grantedTo(a.Owner))
 	o.wants = slices.DeleteFunc(slices.Clone(a.Wants), func(w Want) bool { return !now.Before(w.Deadline) })
-	return h.Tick(now)
 }
 
+// Release takes back a permit, used or not.
+func (h *Holder) Release(id PermitID) { delete(h.granted, id) }
+
 // Done takes back a permit, used or not, and returns the permits that can be
 // granted now.
 func (h *Holder) Done(now time.Time, id PermitID) []Permit {
-	delete(h.granted, id)
+	h.Release(id)
 	return h.Tick(now)
 }
 
@@ -189,13 +227,13 @@
 	if h.quiet(now) {
 		return nil
 	}
+	room := h.room(now)
 	var out []Permit
-	for h.room(now) > 0 {
-		name, i, ok := h.best(now)
-		if !ok {
+	for _, c := range h.ranked(now) {
+		if len(out) >= room {
 			break
 		}
-		out = append(out, h.grant(now, name, i))
+		out = append(out, h.grant(now, c.owner, c.want))
 	}
 	return out
 }
@@ -258,25 +296,28 @@
 	return min(rate, transit)
 }
 
-// best returns the want that saves most, and among equals the one with the
-// earliest deadline.
-func (h *Holder) best(now time.Time) (ident.Daemon, int, bool) {
-	var name ident.Daemon
-	var at int
-	var top *Want
+// claim is a want of an owner that may be granted.
+type claim struct {
+	owner ident.Daemon
+	want  Want
+}
+
+// ranked returns the wants of all owners that are heard, those that save most
+// first, and among equals the one with the earliest deadline.
+func (h *Holder) ranked(now time.Time) []claim {
+	var out []claim
 	for _, n := range h.names {
-		o := h.owners[n]
 		if !h.heard(now, n) {
 			continue
 		}
-		for i := range o.wants {
-			w := &o.wants[i]
-			if now.Before(w.Deadline) && (top == nil || compareWants(*w, *top) < 0) {
-				name, at, top = n, i, w
+		for _, w := range h.owners[n].wants {
+			if now.Before(w.Deadline) {
+				out = append(out, claim{owner: n, want: w})
 			}
 		}
 	}
-	return name, at, top != nil
+	slices.SortStableFunc(out, func(a, b claim) int { return compareWants(a.want, b.want) })
+	return out
 }
 
 func compareWants(a, b Want) int {
@@ -288,10 +329,11 @@
 	)
 }
 
-func (h *Holder) grant(now time.Time, name ident.Daemon, i int) Permit {
+func (h *Holder) grant(now time.Time, name ident.Daemon, w Want) Permit {
 	o := h.owners[name]
-	w := o.wants[i]
-	o.wants = slices.Delete(o.wants, i, i+1)
+	if i := slices.Index(o.wants, w); i >= 0 {
+		o.wants = slices.Delete(o.wants, i, i+1)
+	}
 	p := Permit{ID: h.next, Owner: name, Upstream: w.Upstream, Adapter: w.Adapter, StartBy: now.Add(StartWithin)}
 	h.next++
 	h.granted[p.ID] = grant{owner: name, expires: now.Add(Lifetime)}
--- a/core/coordination/dispatch/dispatcher.go
+++ b/core/coordination/dispatch/dispatcher.go
@@ -188,6 +188,9 @@
 	if !req.Retried {
 		d.retries.Arrived(req.Class)
 	}
+	if req.Suspect {
+		d.quarantine.Suspect(now, req.Digest)
+	}
 	d.place(now, r)
 }
 
--- a/core/coordination/dispatch/event.go
+++ b/core/coordination/dispatch/event.go
@@ -34,6 +34,9 @@
 	Idempotent bool
 	// Retried is true if the request has already run once at another owner.
 	Retried bool
+	// Suspect is true if the request was in flight when an upstream crashed,
+	// as far as the daemon that took it in knows.
+	Suspect bool
 	// Upstream is the replica that routing chose, or empty.
 	Upstream ident.Upstream
 }
--- a/core/coordination/dispatch/quarantine/quarantine.go
+++ b/core/coordination/dispatch/quarantine/quarantine.go
@@ -73,6 +73,11 @@
 // Until returns when the entry of d expires, or the zero time.
 func (l *List) Until(d Digest) time.Time { return l.entries[d].Until }
 
+// Suspect notes that d was in flight at a crash elsewhere.
+func (l *List) Suspect(now time.Time, d Digest) {
+	l.Merge(now, Entry{Digest: d, Verdict: Suspect, Until: now.Add(suspectFor)})
+}
+
 // Crashed notes that d was in flight at a crash, alone or not, and returns the
 // entry to spread.
 func (l *List) Crashed(now time.Time, d Digest, alone bool) Entry {
