Dispatch: misses of adapters asked for lately are admitted first

Cause: while there are too many misses, popular adapters that had to come back were turned away as often as those of a scan. Change: an adapter with a demand of 2 or more is admitted at the expense of others.

--- a/core/coordination/dispatch/admission.go
+++ b/core/coordination/dispatch/admission.go
@@ -5,33 +5,38 @@
 // retryMiss is how long a caller is asked to wait after a refused miss.
 const retryMiss = 10 * time.Second
 
+// knownDemand is the demand from which an adapter counts as asked for lately.
+const knownDemand = 2
+
 // admission turns away the share of misses that the load budget cannot serve.
 type admission struct {
 	// share is what the holder of the budget can serve, from 0 to 1.
 	share float64
 	// credit grows by share with each miss and falls by 1 with each that is
-	// admitted; it stays between 0 and 2.
+	// admitted; it stays between -2 and 2.
 	credit float64
 	// misses counts the misses, admitted or not.
 	misses uint64
 }
 
-// miss counts a miss and reports whether it is admitted.
-func (a *admission) miss() bool {
+// miss counts a miss and reports whether it is admitted. An adapter that was
+// asked for lately is admitted at the expense of others: it is likely to be
+// asked for again.
+func (a *admission) miss(known bool) bool {
 	a.misses++
-	a.credit += a.share
-	if a.credit < 1 {
+	a.credit = min(a.credit+a.share, 2)
+	if a.credit < 1 && !known {
 		return false
 	}
-	a.credit--
+	a.credit = max(a.credit-1, -2)
 	return true
 }
 
 // admit reports whether r may wait for p. Only a request that would make a
 // further load necessary can be turned away, and no suspect is.
-func (d *Dispatcher) admit(p *replica, r *request) bool {
+func (d *Dispatcher) admit(now time.Time, p *replica, r *request) bool {
 	if !d.policy.Budgeted || r.alone || p.expects(r.Adapter) || p.lines[r.Adapter] != nil {
 		return true
 	}
-	return d.admission.miss()
+	return d.admission.miss(p.demand.At(now, r.Adapter) >= knownDemand)
 }
--- a/core/coordination/dispatch/dispatcher.go
+++ b/core/coordination/dispatch/dispatcher.go
@@ -235,7 +235,7 @@
 		d.refuse(r, result.New(result.NoUpstream, "this owner may not load without the budget's holder"))
 		return
 	}
-	if !d.admit(p, r) {
+	if !d.admit(now, p, r) {
 		err := result.New(result.Overloaded, "more adapters are asked for than can be loaded")
 		d.refuse(r, err.WithRetryAfter(now.Add(retryMiss)))
 		return
