Dispatch: naive orders its loads first come first served, too

Cause: the naive policy ordered loads by waiting requests and deadlines, as the default does, so it was not the version that the issue names. Change: the replica's best load is chosen by Saves and then by the policy's own order; naive's Saves is constant.

--- a/core/coordination/dispatch/load.go
+++ b/core/coordination/dispatch/load.go
@@ -42,32 +42,18 @@
 		victim = idle[d.policy.Victim(now, idle)]
 	}
 	var best want
-	var found bool
+	var first *request
 	for _, l := range lines {
-		w := budget.Want{
-			Upstream: p.name,
-			Adapter:  l.adapter,
-			Saves:    d.policy.Saves(len(l.requests), victim),
-			Deadline: d.latestStart(now, l.requests[0]),
-		}
-		if !found || compareWants(w, best.Want) < 0 {
-			best, found = want{Want: w, victim: victim.Adapter}, true
+		head := l.requests[0]
+		saves := d.policy.Saves(len(l.requests), victim)
+		if first != nil && (saves < best.Saves || saves == best.Saves && d.policy.Compare(head.Request, first.Request) > 0) {
+			continue
 		}
+		first = head
+		best.Want = budget.Want{Upstream: p.name, Adapter: l.adapter, Saves: saves, Deadline: d.latestStart(now, head)}
+		best.victim = victim.Adapter
 	}
-	return best, found
-}
-
-func compareWants(a, b budget.Want) int {
-	switch {
-	case a.Saves > b.Saves:
-		return -1
-	case a.Saves < b.Saves:
-		return 1
-	}
-	if c := a.Deadline.Compare(b.Deadline); c != 0 {
-		return c
-	}
-	return a.Adapter.Compare(b.Adapter)
+	return best, true
 }
 
 // coldLines returns the lines that wait for an adapter that may be loaded.
--- a/core/coordination/dispatch/policy.go
+++ b/core/coordination/dispatch/policy.go
@@ -80,15 +80,15 @@
 }
 
 // Naive returns the policy that the default is compared with: least
-// outstanding requests, least recently used, first come first served, and
-// loads without a budget, and no quarantine.
+// outstanding requests, least recently used, first come first served for
+// batches and loads, loads without a budget, and no quarantine.
 func Naive() Policy {
 	return Policy{
 		Compare:  byArrival,
 		Choose:   leastOutstanding,
 		Victim:   leastRecentlyUsed,
 		Hopeless: expired,
-		Saves:    func(n int, _ Idle) float64 { return float64(n) },
+		Saves:    func(int, Idle) float64 { return 0 },
 	}
 }
 
