--- a/core/coordination/dispatch/aims_test.go
+++ b/core/coordination/dispatch/aims_test.go
@@ -73,16 +73,17 @@
 	})
 }
 
-// TestAimScan checks that a scan over idle adapters does not flush popular
-// ones: they are as often resident as without the scan.
-func TestAimScan(t *testing.T) {
-	for _, s := range sizes {
-		t.Run(s.name, func(t *testing.T) {
-			scan := measure()[cell{s.name, "4 scan in a flood", "policy"}].stats
-			flood := measure()[cell{s.name, "2 broadcast flood", "policy"}].stats
-			assert.Check(t, scan.popularHits() >= 0.99*flood.popularHits(), "%.4f, without the scan %.4f", scan.popularHits(), flood.popularHits())
-		})
-	}
+// TestAimScanMattressCare and its sibling check that a scan over idle adapters
+// does not flush popular ones: requests find them as often resident as without
+// the scan. They are tests of their own because one of them is known to be red.
+func TestAimScanMattressCare(t *testing.T) { checkScan(t, sizes[0]) }
+
+func TestAimScanVeiligZitje(t *testing.T) { checkScan(t, sizes[1]) }
+
+func checkScan(t *testing.T, s size) {
+	scan := measure()[cell{s.name, "4 scan in a flood", "policy"}].stats
+	flood := measure()[cell{s.name, "2 broadcast flood", "policy"}].stats
+	assert.Check(t, scan.popularHits() >= 0.99*flood.popularHits(), "%.4f, without the scan %.4f", scan.popularHits(), flood.popularHits())
 }
 
 // TestAimCrashes checks that a crashing request takes down at most two
--- a/core/coordination/dispatch/budget/admit.go
+++ b/core/coordination/dispatch/budget/admit.go
@@ -10,7 +10,7 @@
 
 // drain is the part of the loads that is given to new misses while there are
 // too many, so that the queue becomes shorter.
-const drain = 0.9
+const drain = 0.85
 
 // misses counts misses with exponential decay over missSpan.
 type misses struct {
