--- a/io/daemon/calls.go
+++ b/io/daemon/calls.go
@@ -18,6 +18,10 @@
 func (d *Daemon) call(ctx context.Context, x caller.Call) (*caller.Reply, error) {
 	v := d.view.Load()
 	if err := v.fresh(d.clock()); err != nil {
+		if x.Key != "" {
+			// Another copy may have run, so "not run" can't be said.
+			return nil, result.New(result.Unconfirmed, "%w", err)
+		}
 		return nil, err
 	}
 	deadline, err := d.callDeadline(v, x)
@@ -29,7 +33,7 @@
 		defer cancel()
 		return d.callAny(ctx, x)
 	}
-	return d.callOnce(ctx, x, deadline)
+	return d.callOnce(ctx, v, x, deadline)
 }
 
 // callDeadline is the caller's own deadline, or the target of the class.
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -9,6 +9,7 @@
 	"papayaspoke/core/coordination/dispatch"
 	"papayaspoke/core/coordination/dispatch/budget"
 	"papayaspoke/core/coordination/dispatch/routing"
+	"papayaspoke/core/coordination/ledger"
 	"papayaspoke/core/coordination/membership"
 	"papayaspoke/core/coordination/ownership"
 	"papayaspoke/core/coordination/witness"
@@ -58,8 +59,9 @@
 	services  *routing.Services
 
 	holder *ownership.Holder
-	// assigner is nil unless this daemon leads.
+	// assigner and keeper are nil unless this daemon leads.
 	assigner *ownership.Assigner
+	keeper   *ledger.Keeper
 	// owned holds the replicas whose gate is open here.
 	owned   map[ident.Upstream]*owned
 	anchors map[ident.Upstream]anchor
@@ -74,10 +76,10 @@
 	gossipReplies map[uint64]chan<- membership.Response
 	tokens        uint64
 
-	// witnessAt, expireAt and orphanAt are when the leader's chores are due;
-	// announcedAt is when the directory was last told of owned replicas.
-	witnessAt, expireAt, orphanAt, announcedAt time.Time
-	draining                                   bool
+	// witnessAt is when the next witness may be proposed; announcedAt is when
+	// the directory was last told of owned replicas.
+	witnessAt, announcedAt time.Time
+	draining               bool
 	// dirty is true if the view has to be published anew.
 	dirty bool
 	// afterPublish runs once the next view is published.
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -48,6 +48,7 @@
 	ctl       *control
 	view      atomic.Pointer[view]
 	proposer  *proposer
+	conns     *client.Client
 	upstreams *upstream.Client
 	forward   *caller.Forwarder
 	peers     *peers
@@ -68,6 +69,7 @@
 	}
 	d.view.Store(&view{state: state.New().View()})
 	conns := client.NewFrom(s.Peer().Addr())
+	d.conns = conns
 	d.upstreams = upstream.NewClient(conns)
 	d.forward = caller.NewForwarder(conns, d.self, s.Token())
 	d.peers = &peers{
--- a/io/daemon/dispatch.go
+++ b/io/daemon/dispatch.go
@@ -1,6 +1,9 @@
 package daemon
 
 import (
+	"encoding/hex"
+	"strconv"
+	"strings"
 	"time"
 
 	"papayaspoke/core/coordination/dispatch"
@@ -31,33 +34,56 @@
 }
 
 // stepDispatch feeds one event to the dispatcher and carries out its effects.
+// A request that failed in a crash may go to another owner only once the
+// suspicion is in force there, so failures wait for verdicts to spread.
 func (c *control) stepDispatch(now time.Time, ev dispatch.Event) {
-	for _, e := range c.dispatcher.Step(now, ev) {
-		switch e := e.(type) {
-		case dispatch.Send:
-			c.decide(e.Request, decision{send: e, isSend: true})
-		case dispatch.Refuse:
-			c.decide(e.Request, decision{err: e.Err})
-			delete(c.waiters, e.Request)
-		case dispatch.Fail:
-			c.decide(e.Request, decision{err: failure(e)})
-			delete(c.waiters, e.Request)
-		case dispatch.Load:
-			c.orders.load(e)
-		case dispatch.Unload:
-			c.orders.unload(e)
-		case dispatch.AskPermits:
-			c.permits.ask = e.Ask
-			c.askPermits(now)
-		case dispatch.ReleasePermit:
-			c.permits.released = append(c.permits.released, e.Permit)
-			c.askPermits(now)
-		case dispatch.Quarantine:
-			c.quarantined(e.Entry)
-		case dispatch.Announce:
-			c.announce(now)
+	effects := c.dispatcher.Step(now, ev)
+	var verdicts []quarantine.Entry
+	for _, e := range effects {
+		if q, ok := e.(dispatch.Quarantine); ok {
+			verdicts = append(verdicts, q.Entry)
 		}
 	}
+	for _, e := range effects {
+		if f, ok := e.(dispatch.Fail); ok && len(verdicts) > 0 {
+			c.spread(verdicts, func() { c.fail(f) })
+			verdicts = nil
+			continue
+		}
+		c.carryOut(now, e)
+	}
+	if len(verdicts) > 0 {
+		c.spread(verdicts, func() {})
+	}
+}
+
+func (c *control) carryOut(now time.Time, e dispatch.Effect) {
+	switch e := e.(type) {
+	case dispatch.Send:
+		c.decide(e.Request, decision{send: e, isSend: true})
+	case dispatch.Refuse:
+		c.decide(e.Request, decision{err: e.Err})
+		delete(c.waiters, e.Request)
+	case dispatch.Fail:
+		c.fail(e)
+	case dispatch.Load:
+		c.orders.load(e)
+	case dispatch.Unload:
+		c.orders.unload(e)
+	case dispatch.AskPermits:
+		c.permits.ask = e.Ask
+		c.askPermits(now)
+	case dispatch.ReleasePermit:
+		c.permits.released = append(c.permits.released, e.Permit)
+		c.askPermits(now)
+	case dispatch.Announce:
+		c.announce(now)
+	}
+}
+
+func (c *control) fail(f dispatch.Fail) {
+	c.decide(f.Request, decision{err: failure(f)})
+	delete(c.waiters, f.Request)
 }
 
 func failure(f dispatch.Fail) error {
@@ -80,22 +106,58 @@
 	}
 }
 
-// quarantined spreads a verdict through the replicated state.
-func (c *control) quarantined(e quarantine.Entry) {
-	if e.Verdict != quarantine.Convicted {
-		return
+// spread commits verdicts, so that they are in force everywhere, and then runs
+// f on the control loop.
+func (c *control) spread(es []quarantine.Entry, f func()) {
+	var cmds []state.Command
+	for _, e := range es {
+		c.log.Info("verdict on a request", "verdict", int(e.Verdict), "digest", hex.EncodeToString(e.Digest[:8]))
+		cmds = append(cmds, state.Quarantine{Digest: encodeVerdict(e), Until: e.Until.Round(0)})
+	}
+	c.orders.commitThen(state.Batch{Commands: cmds}, func() { c.post(func(time.Time) { f() }) })
+}
+
+// encodeVerdict returns the key of an entry in the replicated state: a digit
+// for the verdict, a colon and the digest in hexadecimal.
+func encodeVerdict(e quarantine.Entry) string {
+	return strconv.Itoa(int(e.Verdict)) + ":" + hex.EncodeToString(e.Digest[:])
+}
+
+func decodeVerdict(key string, until time.Time) (quarantine.Entry, bool) {
+	digit, digest, ok := strings.Cut(key, ":")
+	v, err := strconv.ParseUint(digit, 10, 8)
+	raw, derr := hex.DecodeString(digest)
+	if !ok || err != nil || derr != nil || len(raw) != len(quarantine.Digest{}) {
+		return quarantine.Entry{}, false
 	}
-	c.log.Info("request quarantined", "until", e.Until)
-	c.orders.commit(state.Quarantine{Digest: string(e.Digest[:]), Until: e.Until})
+	return quarantine.Entry{Digest: quarantine.Digest(raw), Verdict: quarantine.Verdict(v), Until: until}, true
 }
 
-// noteQuarantine tells the dispatcher of verdicts that other daemons
-// committed.
+// noteQuarantine tells the dispatcher of verdicts that were committed, by
+// this daemon or another.
 func (c *control) noteQuarantine(now time.Time, cmd state.Command) {
-	q, ok := cmd.(state.Quarantine)
-	if !ok || len(q.Digest) != len(quarantine.Digest{}) {
-		return
+	switch cmd := cmd.(type) {
+	case state.Batch:
+		for _, sub := range cmd.Commands {
+			c.noteQuarantine(now, sub)
+		}
+	case state.Quarantine:
+		if e, ok := decodeVerdict(cmd.Digest, cmd.Until); ok {
+			c.stepDispatch(now, dispatch.Quarantines{Entries: []quarantine.Entry{e}})
+		}
+	}
+}
+
+// restoreQuarantine tells the dispatcher of the verdicts in a snapshot. Those
+// that cleared a suspect are left out: the suspect's entry soon expires.
+func (c *control) restoreQuarantine(now time.Time) {
+	var es []quarantine.Entry
+	for key, until := range c.state.View().Quarantined() {
+		if e, ok := decodeVerdict(key, until); ok && e.Verdict != quarantine.Clear {
+			es = append(es, e)
+		}
+	}
+	if len(es) > 0 {
+		c.stepDispatch(now, dispatch.Quarantines{Entries: es})
 	}
-	e := quarantine.Entry{Digest: quarantine.Digest([]byte(q.Digest)), Verdict: quarantine.Convicted, Until: q.Until}
-	c.stepDispatch(now, dispatch.Quarantines{Entries: []quarantine.Entry{e}})
 }
--- a/io/daemon/infer.go
+++ b/io/daemon/infer.go
@@ -28,6 +28,11 @@
 
 // infer serves a request for text, here or through the owner of a replica.
 func (d *Daemon) infer(ctx context.Context, x caller.Infer) (*caller.Answer, error) {
+	if x.Key != "" {
+		// TODO: take requests to engines that may not be repeated through the
+		// ledger; until then a key would promise what is not kept.
+		return nil, result.New(result.Malformed, "text may be made again: an Idempotency-Key is for services")
+	}
 	r, err := d.accept(&x)
 	if err != nil {
 		return nil, err
@@ -106,25 +111,46 @@
 
 // offer gives the request to one owner after the other until one takes it.
 // Only refusals that say "not run", and failures that may be repeated, go on
-// to the next.
+// to the next. While no replica takes new work the request waits, as long as
+// its target allows: a replica whose owner has failed soon has another.
 func (d *Daemon) offer(ctx context.Context, x caller.Infer, r dispatch.Request) (*caller.Answer, error) {
 	if x.Hop != "" {
 		return d.serve(ctx, x, r)
 	}
 	var tried []ident.Upstream
-	for try := 1; ; try++ {
+	var failed error
+	for try := 1; ; {
 		c, err := d.route(ctx, r, tried)
 		if err != nil {
-			return nil, err
+			if d.clock().Add(routePause).Before(r.Deadline) && pause(ctx, routePause) {
+				tried = nil
+				continue
+			}
+			return nil, notServed(failed, err)
 		}
 		r.Upstream = c.Upstream
 		a, err := d.offerTo(ctx, c.Owner, x, r)
 		if err == nil || try == maxTries || ctx.Err() != nil || !passesOn(err) {
-			return a, err
+			return a, notServed(failed, err)
+		}
+		if !result.Lookup(result.CodeOf(err)).NotRun {
+			r.Retried, failed = true, err
 		}
-		r.Retried = r.Retried || !result.Lookup(result.CodeOf(err)).NotRun
 		tried = append(tried, c.Upstream)
+		try++
+	}
+}
+
+// routePause separates looks for a replica that takes new work.
+const routePause = 50 * time.Millisecond
+
+// notServed returns err, unless an earlier attempt failed that may have run:
+// then that failure stands, as "not run" would be wrong.
+func notServed(failed, err error) error {
+	if failed != nil && err != nil && result.Lookup(result.CodeOf(err)).NotRun {
+		return failed
 	}
+	return err
 }
 
 func (d *Daemon) offerTo(ctx context.Context, owner ident.Daemon, x caller.Infer, r dispatch.Request) (*caller.Answer, error) {
@@ -135,7 +161,43 @@
 	if !ok {
 		return nil, result.New(result.OwnerUnreachable, "daemon %s is not known", owner)
 	}
-	return d.forward.Infer(ctx, info.peer, x)
+	// The forward's own context must outlive this call if an answer comes.
+	fctx, cancel := context.WithCancelCause(ctx)
+	begun := make(chan struct{})
+	go d.watchOwner(fctx, owner, begun, cancel)
+	a, err := d.forward.Infer(fctx, info.peer, x)
+	close(begun)
+	if err != nil {
+		if errors.Is(context.Cause(fctx), errOwnerLost) {
+			err = retryError{cause: result.New(result.UpstreamFailed, "daemon %s: %w", owner, errOwnerLost)}
+		}
+		cancel(nil)
+		return nil, err
+	}
+	return a.WithEnd(func() { cancel(nil) }), nil
+}
+
+// errOwnerLost ends a forward that has brought nothing yet.
+var errOwnerLost = errors.New("owner does not answer over new connections either")
+
+// watchOwner gives up a forward to an owner that has become unreachable, so
+// that the request can go elsewhere before its target has passed.
+func (d *Daemon) watchOwner(ctx context.Context, owner ident.Daemon, begun <-chan struct{}, cancel context.CancelCauseFunc) {
+	tick := time.NewTicker(routePause)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-begun:
+			return
+		case <-tick.C:
+			if i, ok := d.view.Load().daemons[owner]; !ok || i.suspected {
+				cancel(errOwnerLost)
+				return
+			}
+		}
+	}
 }
 
 // passesOn reports whether another owner may be tried after err.
--- a/io/daemon/once.go
+++ b/io/daemon/once.go
@@ -8,96 +8,208 @@
 	"net/http"
 	"time"
 
+	"papayaspoke/core/coordination/ledger"
 	"papayaspoke/core/ident"
 	"papayaspoke/core/result"
 	"papayaspoke/core/state"
 	"papayaspoke/io/protocol/caller"
 )
 
-// settleTimeout bounds the proposals that tell the ledger how an attempt
-// ended. They go on after the caller is gone.
-const settleTimeout = 10 * time.Second
+// proposeOnceTimeout bounds one proposal of a ledger command; the request
+// proposes again by itself.
+const proposeOnceTimeout = 2 * time.Second
 
-// callOnce runs a call that may not be repeated. Begin is durable before the
-// first byte is sent, so whatever happens to this daemon, no other will send
-// it again under the same key.
-func (d *Daemon) callOnce(ctx context.Context, x caller.Call, deadline time.Time) (*caller.Reply, error) {
+// callOnce runs a call that may not be repeated. What happens when is decided
+// by core/coordination/ledger; this goroutine only waits, while the request
+// goes on after its caller is gone.
+func (d *Daemon) callOnce(ctx context.Context, v *view, x caller.Call, deadline time.Time) (*caller.Reply, error) {
 	if x.Key == "" {
 		return nil, result.New(result.KeyMissing, "%s %s may not be repeated", x.Method, x.Path)
 	}
 	if x.Deadline.IsZero() && x.Class == "" {
 		return nil, result.New(result.DeadlineMissing, "give a class or a deadline")
 	}
-	b := state.Begin{
-		Scope: string(x.Service), Key: x.Key, Digest: callDigest(x), Owner: d.self, OwnerIncarnation: d.inc,
-		Attempt: ident.Attempt(rand.Text()), At: d.wall(), Deadline: deadline.Round(0),
+	o := &once{
+		d: d, call: x, events: make(chan ledger.Event, 16), routes: make(chan route, 1),
+		replies: make(chan onceReply, 1),
+		begin: state.Begin{
+			Scope: string(x.Service), Key: x.Key, Digest: callDigest(x), Owner: d.self, OwnerIncarnation: d.inc,
+			Attempt: ident.Attempt(rand.Text()), Seen: v.state.Index(), At: d.wall(), Deadline: deadline.Round(0),
+		},
 	}
-	begun, cancel := context.WithDeadline(ctx, deadline)
+	o.request = ledger.New(o.begin)
+	go o.run()
+	select {
+	case r := <-o.replies:
+		return r.reply, r.err
+	case <-ctx.Done():
+		return nil, result.New(result.StillRunning, "the caller is gone: %w", context.Cause(ctx))
+	}
+}
+
+// once is one attempt at a call that may not be repeated. Its goroutine ends
+// when the ledger knows how the attempt ended.
+type once struct {
+	d       *Daemon
+	call    caller.Call
+	begin   state.Begin
+	request *ledger.Request
+	events  chan ledger.Event
+	routes  chan route
+	replies chan onceReply
+	// tried are the replicas that provably got nothing.
+	tried []ident.Upstream
+	// answer is the upstream's own, whole, if it came to this attempt.
+	answer *caller.Reply
+}
+
+// route is where an attempt may write, or why it can not.
+type route struct {
+	name ident.Upstream
+	info upstreamInfo
+	err  error
+}
+
+type onceReply struct {
+	reply *caller.Reply
+	err   error
+}
+
+func (o *once) run() {
+	o.step(ledger.Start{})
+	for !o.request.Done() {
+		wake := time.NewTimer(time.Until(o.request.Next()))
+		select {
+		case e := <-o.events:
+			o.step(e)
+		case r := <-o.routes:
+			o.write(r)
+		case <-wake.C:
+			o.step(ledger.Tick{})
+		case <-o.d.ctx.Done():
+			wake.Stop()
+			return
+		}
+		wake.Stop()
+	}
+}
+
+func (o *once) step(e ledger.Event) ledger.Effects {
+	eff := o.request.Step(o.d.wall(), e)
+	for _, cmd := range eff.Propose {
+		go o.propose(cmd)
+	}
+	if eff.Route {
+		go o.route()
+	}
+	if eff.Reply != nil {
+		o.reply(*eff.Reply)
+	}
+	return eff
+}
+
+// send hands an event to the attempt's goroutine.
+func (o *once) send(e ledger.Event) {
+	select {
+	case o.events <- e:
+	case <-o.d.ctx.Done():
+	}
+}
+
+func (o *once) propose(cmd state.Command) {
+	ctx, cancel := context.WithTimeout(o.d.ctx, proposeOnceTimeout)
 	defer cancel()
-	a, err := d.proposer.propose(begun, b)
-	if result.CodeOf(err) == result.Unknown {
-		// The grant may have been given and lost. Nothing was sent, and only
-		// an Abandon in the ledger lets that be said.
-		return nil, d.abandon(b, result.New(result.NoLeader, "the ledger did not answer in time"))
+	a, err := o.d.proposer.propose(ctx, cmd)
+	_, begins := cmd.(state.Begin)
+	switch {
+	case begins && a.code == result.Pending:
+		// Not yet in force: the request proposes it again.
+	case err == nil && begins:
+		o.send(ledger.Begun{Outcome: a.outcome})
+	case err == nil:
+		o.send(ledger.Settled{Outcome: a.outcome})
+	case begins && result.CodeOf(err) == result.NoLeader:
+		v := o.d.view.Load()
+		entry := v.state.Entry(o.begin.Scope, o.begin.Key)
+		o.send(ledger.Refused{Code: result.NoLeader, Entry: entry, Fresh: v.fresh(o.d.clock()) == nil})
 	}
-	if err != nil {
-		return nil, err
+}
+
+func (o *once) route() {
+	ctx, cancel := context.WithDeadline(o.d.ctx, o.begin.Deadline)
+	defer cancel()
+	name, info, err := o.d.pickService(ctx, o.call.Service, o.tried)
+	if err == nil {
+		if ferr := o.d.view.Load().fresh(o.d.clock()); ferr != nil {
+			err = ferr
+		}
 	}
-	if !a.outcome.Granted {
-		return ledgerReply(a.outcome)
+	select {
+	case o.routes <- route{name: name, info: info, err: err}:
+	case <-ctx.Done():
 	}
-	return d.attempt(begun, x, b)
 }
 
-func callDigest(x caller.Call) string {
-	h := sha256.New()
-	h.Write([]byte(x.Method + "\x00" + x.Path + "\x00" + x.Header.Get("Content-Type") + "\x00"))
-	h.Write(x.Body)
-	return hex.EncodeToString(h.Sum(nil))
+func (o *once) write(r route) {
+	if r.err != nil {
+		o.step(ledger.GiveUp{Code: result.CodeOf(r.err)})
+		return
+	}
+	if !o.step(ledger.Writing{}).Write {
+		return
+	}
+	o.tried = append(o.tried, r.name)
+	go o.transmit(r)
 }
 
-// ledgerReply tells a caller what the ledger knows of its key.
-func ledgerReply(o state.Outcome) (*caller.Reply, error) {
-	if err := o.Err(); err != nil {
-		return nil, err
+func (o *once) transmit(r route) {
+	ctx, cancel := context.WithDeadline(o.d.ctx, o.begin.Deadline)
+	defer cancel()
+	reply, err := o.d.sendCall(ctx, r.name, r.info, o.call, false)
+	switch {
+	case err == nil:
+		o.answer = reply
+		o.send(ledger.Answered{Answer: ledgerAnswer(reply)})
+	case result.CodeOf(err) == result.NoUpstream:
+		o.send(ledger.NotSent{})
+	default:
+		o.d.log.Info("outcome unknown", "service", o.call.Service, "upstream", r.name, "error", err.Error())
+		o.send(ledger.Lost{})
 	}
-	if o.Entry == nil || o.Entry.Phase != state.Finished {
-		return nil, result.New(result.Internal, "the ledger gave neither a grant nor an answer")
+}
+
+// reply tells the caller. The upstream's own answer goes out as it came; a
+// stored one has the status, the type and the body.
+func (o *once) reply(r ledger.Reply) {
+	switch {
+	case r.Code != result.OK:
+		o.replies <- onceReply{err: result.New(r.Code, "%s %s, key %s", o.call.Service, o.call.Path, o.call.Key)}
+	case o.answer != nil:
+		o.replies <- onceReply{reply: o.answer}
+	default:
+		o.replies <- onceReply{reply: storedReply(r.Answer)}
 	}
-	a := o.Entry.Answer
+}
+
+// droppedHeader marks a stored answer whose body was too large to keep.
+const droppedHeader = "Papayaspoke-Body-Dropped"
+
+func storedReply(a state.Answer) *caller.Reply {
 	h := http.Header{}
 	if a.Type != "" {
 		h.Set("Content-Type", a.Type)
 	}
-	return &caller.Reply{Status: a.Status, Header: h, Body: a.Body}, nil
+	if a.Dropped {
+		h.Set(droppedHeader, "true")
+	}
+	return &caller.Reply{Status: a.Status, Header: h, Body: a.Body}
 }
 
-// attempt sends a call that was granted. It tries another replica only while
-// provably nothing was sent.
-func (d *Daemon) attempt(ctx context.Context, x caller.Call, b state.Begin) (*caller.Reply, error) {
-	var tried []ident.Upstream
-	for {
-		name, info, err := d.pickService(ctx, x.Service, tried)
-		if err != nil {
-			return nil, d.abandon(b, err)
-		}
-		if now := d.clock(); !now.Before(b.Deadline) {
-			return nil, d.abandon(b, result.New(result.DeadlineHopeless, "the deadline passed before it was sent"))
-		}
-		if err := d.view.Load().fresh(d.clock()); err != nil {
-			return nil, d.abandon(b, err)
-		}
-		reply, err := d.sendCall(ctx, name, info, x, false)
-		if err == nil {
-			d.settle(state.Finish{Scope: b.Scope, Key: b.Key, Attempt: b.Attempt, Answer: ledgerAnswer(reply)})
-			return reply, nil
-		}
-		if result.CodeOf(err) != result.NoUpstream {
-			d.settle(state.MarkUnknown{Scope: b.Scope, Key: b.Key, Attempt: b.Attempt})
-			return nil, result.New(result.Unknown, "%w", err)
-		}
-		tried = append(tried, name)
-	}
+func callDigest(x caller.Call) string {
+	h := sha256.New()
+	h.Write([]byte(x.Method + "\x00" + x.Path + "\x00" + x.Header.Get("Content-Type") + "\x00"))
+	h.Write(x.Body)
+	return hex.EncodeToString(h.Sum(nil))
 }
 
 func ledgerAnswer(r *caller.Reply) state.Answer {
@@ -107,29 +219,3 @@
 	}
 	return a
 }
-
-// settle tells the ledger how an attempt ended. The answer goes to the caller
-// once the ledger has it or once that takes too long: then a resend is told
-// that the outcome is unknown, which is true and safe.
-func (d *Daemon) settle(cmd state.Command) {
-	ctx, cancel := context.WithTimeout(d.ctx, settleTimeout)
-	defer cancel()
-	if _, err := d.proposer.propose(ctx, cmd); err != nil {
-		d.log.Info("the ledger did not take the end of an attempt", "command", describe(cmd), "error", err.Error())
-	}
-}
-
-// abandon frees the key of an attempt that has sent nothing. Only if the
-// ledger confirms that may the caller be told "not run", by the reason given.
-func (d *Daemon) abandon(b state.Begin, reason error) error {
-	ctx, cancel := context.WithTimeout(d.ctx, settleTimeout)
-	defer cancel()
-	a, err := d.proposer.propose(ctx, state.Abandon{Scope: b.Scope, Key: b.Key, Attempt: b.Attempt, Deadline: b.Deadline})
-	if err != nil || a.outcome.Code != result.OK {
-		return result.New(result.Unknown, "the key could not be freed: %w", reason)
-	}
-	if !result.Lookup(result.CodeOf(reason)).NotRun {
-		return result.New(result.DeadlineHopeless, "not sent: %w", reason)
-	}
-	return reason
-}
--- a/io/daemon/orders.go
+++ b/io/daemon/orders.go
@@ -36,6 +36,9 @@
 	claim func(name ident.Upstream, inc ident.Incarnation, fence ident.Fence)
 	// commit proposes a command that nobody waits for.
 	commit func(cmd state.Command)
+	// commitThen proposes a command and calls f once it is in force, or once
+	// that takes too long.
+	commitThen func(cmd state.Command, f func())
 }
 
 // newOrders returns the orders of d.
@@ -46,15 +49,21 @@
 		claim: func(name ident.Upstream, inc ident.Incarnation, fence ident.Fence) {
 			go d.claim(name, inc, fence)
 		},
-		commit: func(cmd state.Command) { go d.commit(cmd) },
+		commit: func(cmd state.Command) { go d.commit(cmd, commitTimeout) },
+		commitThen: func(cmd state.Command, f func()) {
+			go func() {
+				d.commit(cmd, exchangeTimeout)
+				f()
+			}()
+		},
 	}
 }
 
 // commitTimeout bounds commands that nobody waits for.
 const commitTimeout = 10 * time.Second
 
-func (d *Daemon) commit(cmd state.Command) {
-	ctx, cancel := context.WithTimeout(d.ctx, commitTimeout)
+func (d *Daemon) commit(cmd state.Command, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(d.ctx, timeout)
 	defer cancel()
 	if a, err := d.proposer.propose(ctx, cmd); err != nil || a.outcome.Code != result.OK {
 		d.log.V(1).Info("command not committed", "command", describe(cmd), "error", errText(err), "code", int(a.outcome.Code), "detail", a.outcome.Detail)
--- a/io/daemon/owner.go
+++ b/io/daemon/owner.go
@@ -65,10 +65,7 @@
 func (c *control) cluster(now time.Time) ownership.Cluster {
 	var out ownership.Cluster
 	for _, d := range c.members.Daemons() {
-		if d.Draining {
-			continue
-		}
-		stale := d.Name == c.self && !now.Before(c.witness.FreshUntil())
+		stale := d.Draining || d.Name == c.self && !now.Before(c.witness.FreshUntil())
 		out.Daemons = append(out.Daemons, ownership.Daemon{
 			Name: d.Name, Incarnation: d.Version.Incarnation, DataCentre: d.DataCentre,
 			Suspect: c.members.Unreachable(d.Name), Stale: stale,
@@ -96,22 +93,17 @@
 	delete(c.anchors, o.Upstream)
 	c.stepDispatch(now, dispatch.Acquired{
 		Upstream: u.Name, Incarnation: w.inc, Model: u.Model, DataCentre: u.DataCentre,
-		Slots: int(u.Slots), MaxBatch: int(u.MaxBatch), Fence: o.Fence, BusyUntil: c.latestFormer(now),
+		Slots: int(u.Slots), MaxBatch: int(u.MaxBatch), Fence: o.Fence, BusyUntil: latestFormer(now),
 	})
 	c.claim(now, o.Upstream, w)
 	c.dirty = true
 }
 
 // latestFormer is the latest time at which a request of a former owner can
-// still run.
-func (c *control) latestFormer(now time.Time) time.Time {
-	latest := now.Add(minOverrun)
-	for _, class := range c.view.Classes() {
-		if t := cutoffOf(now, class.Target.Deadline(now)); t.After(latest) {
-			latest = t
-		}
-	}
-	return latest.Add(ownership.DeliveryBound)
+// still run, whatever its class's target was then.
+func latestFormer(now time.Time) time.Time {
+	longest := state.Milliseconds(state.MaxTarget).Deadline(now)
+	return cutoffOf(now, longest).Add(ownership.DeliveryBound)
 }
 
 func (c *control) claim(now time.Time, name ident.Upstream, w *owned) {
--- a/io/daemon/proposals.go
+++ b/io/daemon/proposals.go
@@ -129,9 +129,11 @@
 // waitsVisible reports whether a command is answered only once it is in force
 // everywhere.
 func waitsVisible(cmd state.Command) bool {
-	switch cmd.(type) {
-	case state.Change, state.Revoke, state.Assign, state.Release:
+	switch cmd := cmd.(type) {
+	case state.Change, state.Revoke, state.Assign, state.Release, state.Begin:
 		return true
+	case state.Batch:
+		return len(cmd.Commands) > 0
 	}
 	return false
 }
--- a/io/daemon/tick.go
+++ b/io/daemon/tick.go
@@ -2,17 +2,20 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"papayaspoke/core/coordination/consensus"
 	"papayaspoke/core/coordination/dispatch"
 	"papayaspoke/core/coordination/dispatch/routing"
+	"papayaspoke/core/coordination/ledger"
 	"papayaspoke/core/coordination/membership"
 	"papayaspoke/core/coordination/ownership"
 	"papayaspoke/core/coordination/witness"
 	"papayaspoke/core/ident"
 	"papayaspoke/core/result"
 	"papayaspoke/core/state"
+	"papayaspoke/io/transport/client"
 )
 
 // tick tells every part the time.
@@ -26,8 +29,7 @@
 	c.stepOwnership(now)
 	c.tickOwned(now)
 	c.ensureWitnesses(now)
-	c.expireLedger(now)
-	c.orphanLost(now)
+	c.keepLedger(now)
 	c.proposals.expire(now)
 	if c.announcedAt.Before(now.Add(-announceInterval)) {
 		c.announcedAt = now
@@ -35,52 +37,39 @@
 	}
 }
 
-const (
-	// announceInterval is how often the directory learns of owned replicas.
-	announceInterval = 100 * time.Millisecond
-	// expireInterval is how often the leader lets the ledger forget.
-	expireInterval = 10 * time.Second
-	// clockBound is how far the wall clocks of daemons may differ.
-	clockBound = 5 * time.Second
-)
+// announceInterval is how often the directory learns of owned replicas.
+const announceInterval = 100 * time.Millisecond
 
-// expireLedger lets the leader forget what has ended.
-func (c *control) expireLedger(now time.Time) {
-	if !c.leading() || now.Before(c.expireAt) {
+// keepLedger lets the leader tidy the ledger.
+func (c *control) keepLedger(now time.Time) {
+	if c.keeper == nil || !c.leading() {
 		return
 	}
-	c.expireAt = now.Add(expireInterval)
-	c.orders.commit(state.Expire{Until: now.Round(0).Add(-clockBound)})
+	for _, cmd := range c.keeper.Step(now, now.Round(0), c.view, c.runs()) {
+		c.orders.commit(cmd)
+	}
 }
 
-// orphanLost lets the leader mark the attempts of daemons that have ended as
-// unknown. A run that membership has forgotten, or that a later run of the
-// same name has replaced, has ended.
-func (c *control) orphanLost(now time.Time) {
-	if !c.leading() || now.Before(c.orphanAt) {
-		return
-	}
-	c.orphanAt = now.Add(orphanInterval)
-	for _, r := range c.view.Runners() {
-		m, ok := c.members.Daemon(r.Owner)
-		if ok && m.Version.Incarnation > r.Incarnation {
-			c.orders.commit(state.Orphan(r))
+// runs returns the runs of daemons that are in the cluster and not suspected.
+func (c *control) runs() []state.Runner {
+	var out []state.Runner
+	for _, m := range c.members.Daemons() {
+		if !c.members.Unreachable(m.Name) {
+			out = append(out, state.Runner{Owner: m.Name, Incarnation: m.Version.Incarnation})
 		}
 	}
+	return out
 }
 
-// orphanInterval is how often the leader looks for ended attempts.
-const orphanInterval = time.Second
-
 // roleChanged begins or ends what only the leader does.
 func (c *control) roleChanged(now time.Time, r consensus.RoleChange) {
 	leads := r.Role == consensus.Leader
 	c.log.Info("role changed", "role", r.Role.String(), "term", r.Term, "leader", r.Leader.Daemon)
 	c.leader = r.Leader.Daemon
 	c.dirty = true
-	c.assigner = nil
+	c.assigner, c.keeper = nil, nil
 	if leads {
-		c.assigner = ownership.New()
+		c.assigner, c.keeper = ownership.New(), ledger.NewKeeper()
 	}
 	c.resetHolder(now, leads, r.Term)
 	c.stepWitness(now, witness.Leading{On: leads})
@@ -160,10 +149,16 @@
 	}()
 }
 
-// probe tries whether a daemon answers over a new connection.
+// probe tries whether a daemon answers over a new connection. A connection
+// alone proves nothing: the kernel of a frozen process still accepts them.
 func (d *Daemon) probe(name ident.Daemon, addr string) {
 	go func() {
-		ok := d.dials(addr)
-		d.ctl.post(func(now time.Time) { d.ctl.stepMembers(now, membership.ProbeResult{Daemon: name, OK: ok}) })
+		ctx, cancel := context.WithTimeout(d.ctx, exchangeTimeout)
+		defer cancel()
+		a, err := d.conns.Do(ctx, client.Exchange{Method: http.MethodGet, URL: "http://" + addr + "/"})
+		if err == nil {
+			_ = a.Body().Close()
+		}
+		d.ctl.post(func(now time.Time) { d.ctl.stepMembers(now, membership.ProbeResult{Daemon: name, OK: err == nil}) })
 	}()
 }
--- a/io/daemon/witness.go
+++ b/io/daemon/witness.go
@@ -89,6 +89,7 @@
 		return
 	}
 	c.state, c.term = st, s.Term
+	c.restoreQuarantine(now)
 	c.applied(now, s.Index)
 }
 
