A copy that cannot reach a leader is answered from the confirmed view

Cause: at the end of its patience a request always abandoned, although none of its Begins had entered the log, so a caller without a leader was told unconfirmed where the daemon's own fresh view could say more. Change: a further Begin is proposed; its refusal ends the request. The test has a daemon that never reaches a leader, with a view that is sometimes stale.

--- a/core/coordination/ledger/ledger_test.go
+++ b/core/coordination/ledger/ledger_test.go
@@ -41,6 +41,7 @@
 			}
 			s.step()
 		}
+		s.cut = false
 		s.rates = rates{lose: 1 << 30, twice: 1 << 30, slow: 1 << 30, crash: 1 << 30, refuse: 1 << 30, unsent: 1 << 30, vanish: 1 << 30, resend: 1 << 30}
 		for range 200 {
 			s.step()
@@ -184,6 +185,19 @@
 	assert.Assert(t, !r.Step(l.now, ledger.Writing{}).Write)
 }
 
+// TestSecondCopyIsAbandoned checks that a Begin that was proposed twice does
+// not leave a grant behind that nobody drives.
+func TestSecondCopyIsAbandoned(t *testing.T) {
+	l := &ledgerOf{state: state.New(), now: start}
+	r := l.begin("a", "d")
+	second := r.Step(l.now, ledger.Start{}).Propose[0]
+	assert.Equal(t, len(r.Step(l.now.Add(ledger.ProposalRetry), ledger.Tick{}).Propose), 1)
+	reply := l.run(r, ledger.Begun{Outcome: state.Outcome{Code: result.Overloaded}})
+	assert.Equal(t, reply.Code, result.Overloaded)
+	assert.Assert(t, r.Done())
+	assert.Assert(t, !l.state.Apply(l.state.Index()+1, second).Granted)
+}
+
 func TestNoWriteAfterDeadline(t *testing.T) {
 	l := &ledgerOf{state: state.New(), now: start}
 	r := l.begin("a", "d")
--- a/core/coordination/ledger/request.go
+++ b/core/coordination/ledger/request.go
@@ -102,7 +102,8 @@
 			r.abandon(s, result.DeadlineHopeless)
 			return
 		}
-		if !s.now.Before(r.patience) {
+		// If no Begin can be in the log, the next Refused ends the request.
+		if r.refused < r.proposed && !s.now.Before(r.patience) {
 			r.abandon(s, result.NoLeader)
 			return
 		}
--- a/core/coordination/ledger/sim_test.go
+++ b/core/coordination/ledger/sim_test.go
@@ -62,9 +62,13 @@
 	now          time.Time
 	state        *state.State
 	incarnations [3]ident.Incarnation
-	copies       []*copyOf
-	network      []message
-	keeper       *ledger.Keeper
+	// cut is true if the last daemon never reaches a leader.
+	cut bool
+	// stale is the view of a daemon that has fallen behind.
+	stale   *state.View
+	copies  []*copyOf
+	network []message
+	keeper  *ledger.Keeper
 	// runs counts the upstream's runs of each key; answers holds the last.
 	runs    map[ident.Key]int
 	answers map[ident.Key]int
@@ -83,6 +87,8 @@
 		},
 		now:          start,
 		state:        state.New(),
+		cut:          rapid.Bool().Draw(t, "cut"),
+		stale:        state.New().View(),
 		incarnations: [3]ident.Incarnation{1, 1, 1},
 		keeper:       ledger.NewKeeper(),
 		runs:         map[ident.Key]int{},
@@ -152,10 +158,13 @@
 
 func (s *sim) propose(c *copyOf, command state.Command) {
 	_, begin := command.(state.Begin)
-	if begin && s.chaos(s.rates.refuse) {
-		view := s.state.View()
-		c.outcome = s.state.Index()
-		s.event(c, ledger.Refused{Code: result.NoLeader, Entry: view.Entry("booking", c.key), Fresh: s.chaos(2)})
+	if begin && (c.daemon == 2 && s.cut || s.chaos(s.rates.refuse)) {
+		fresh, view := s.chaos(2), s.stale
+		if fresh {
+			view = s.state.View()
+		}
+		c.outcome = view.Index()
+		s.event(c, ledger.Refused{Code: result.NoLeader, Entry: view.Entry("booking", c.key), Fresh: fresh})
 		return
 	}
 	s.later(func() {
@@ -244,6 +253,9 @@
 func (s *sim) step() {
 	s.now = s.now.Add(tick)
 	s.deliver()
+	if s.chaos(50) {
+		s.stale = s.state.View()
+	}
 	for i := range s.incarnations {
 		if s.chaos(s.rates.crash) {
 			s.crash(i)
@@ -253,6 +265,9 @@
 		if next := c.request.Next(); !next.IsZero() && !s.now.Before(next) {
 			s.event(c, ledger.Tick{})
 		}
+		if s.chaos(50 * s.rates.unsent) {
+			s.event(c, ledger.GiveUp{Code: result.NoUpstream})
+		}
 		if c.route && !c.dead {
 			c.route = false
 			s.route(c)
