--- a/core/ordered/map.go
+++ b/core/ordered/map.go
@@ -30,6 +30,10 @@
 // Len returns the number of keys.
 func (m Map[K, V]) Len() int { return int(size(m.root)) }
 
+// Depth returns the number of nodes on the longest path, at most about
+// 1.44 log2 of the number of keys.
+func (m Map[K, V]) Depth() int { return int(height(m.root)) }
+
 // Get returns the value at k and whether there is one.
 func (m Map[K, V]) Get(k K) (V, bool) {
 	n := m.root
