--- a/core/state/linear_test.go
+++ b/core/state/linear_test.go
@@ -122,7 +122,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		r := &replicas{states: [3]*state.State{state.New(), state.New(), state.New()}, first: map[ident.Change]told{}}
 		var calls []*call
-		for now := range int64(rapid.IntRange(10, 60).Draw(t, "steps")) {
+		for now := range int64(rapid.IntRange(20, 80).Draw(t, "steps")) {
 			if rapid.IntRange(0, 1).Draw(t, "new") == 0 {
 				calls = append(calls, &call{op: drawOperation(t, r, len(calls)), began: 2 * now, returned: math.MaxInt64})
 				continue
@@ -134,7 +134,7 @@
 				r.states[i] = s
 			}
 			if len(calls) > 0 {
-				step(t, r, rapid.SampledFrom(calls).Draw(t, "call"), 2*now+1)
+				step(t, r, drawCall(t, calls), 2*now+1)
 			}
 		}
 		var history []porcupine.Operation
@@ -157,6 +157,14 @@
 	assert.Assert(t, won > 100 && lost > 100, "%d changes won and %d lost", won, lost)
 }
 
+// drawCall mostly draws one of the newest calls, which wait for an answer.
+func drawCall(t *rapid.T, calls []*call) *call {
+	if rapid.IntRange(0, 4).Draw(t, "any") > 0 {
+		calls = calls[max(0, len(calls)-4):]
+	}
+	return rapid.SampledFrom(calls).Draw(t, "call")
+}
+
 func drawOperation(t *rapid.T, r *replicas, n int) operation {
 	op := operation{class: rapid.SampledFrom([]ident.Class{"urgent", "letters"}).Draw(t, "class")}
 	if rapid.IntRange(0, 2).Draw(t, "read") == 0 {
--- a/core/state/model_test.go
+++ b/core/state/model_test.go
@@ -15,8 +15,10 @@
 )
 
 func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
 	}
 	flag.Parse()
 	os.Exit(m.Run())
