--- a/core/ordered/map.go
+++ b/core/ordered/map.go
@@ -27,6 +27,30 @@
 	return Map[K, V]{cmp: cmp}
 }
 
+// FromSorted returns a map of keys[i] to values[i] and true, or false if the
+// keys are not in strictly ascending order. It allocates one node a key.
+func FromSorted[K, V any](cmp func(a, b K) int, keys []K, values []V) (Map[K, V], bool) {
+	for i := 1; i < len(keys); i++ {
+		if cmp(keys[i-1], keys[i]) >= 0 {
+			return Map[K, V]{}, false
+		}
+	}
+	return Map[K, V]{root: build(keys, values), cmp: cmp}, true
+}
+
+func build[K, V any](keys []K, values []V) *node[K, V] {
+	if len(keys) == 0 {
+		return nil
+	}
+	i := len(keys) / 2
+	return update(&node[K, V]{
+		left:  build(keys[:i], values[:i]),
+		right: build(keys[i+1:], values[i+1:]),
+		key:   keys[i],
+		value: values[i],
+	})
+}
+
 // Len returns the number of keys.
 func (m Map[K, V]) Len() int { return int(size(m.root)) }
 
--- a/core/ordered/map_test.go
+++ b/core/ordered/map_test.go
@@ -68,6 +68,9 @@
 		assert.Equal(t, ok, has)
 		assert.Equal(t, v, w)
 	}
+	built, ok := ordered.FromSorted(cmp.Compare, keys, m.Values())
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, built.Values(), m.Values())
 	least, _, ok := m.Min()
 	assert.Equal(t, ok, len(keys) > 0)
 	if ok {
--- a/core/state/model_test.go
+++ b/core/state/model_test.go
@@ -276,6 +276,7 @@
 	cases := map[string]func(*state.Snapshot){
 		"model gone":      func(s *state.Snapshot) { s.Models = nil },
 		"adapter gone":    func(s *state.Snapshot) { s.Adapters = nil },
+		"adapter twice":   func(s *state.Snapshot) { s.Adapters = append(s.Adapters, s.Adapters[0]) },
 		"target":          func(s *state.Snapshot) { s.Classes[0].Target = state.Milliseconds(1) },
 		"version":         func(s *state.Snapshot) { s.Version = 1 },
 		"fence":           func(s *state.Snapshot) { s.Owners[0].Fence = 99 },
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"papayaspoke/core/ident"
+	"papayaspoke/core/ordered"
 	"papayaspoke/core/result"
 )
 
@@ -84,7 +85,9 @@
 	v.index, v.version = s.Index, s.Version
 	v.store, v.witnessVersion = s.Store, s.WitnessVersion
 	v.sequence, v.expired = s.Sequence, s.Expired
-	v.loadCatalogue(s)
+	if err := v.loadCatalogue(s); err != nil {
+		return nil, err
+	}
 	v.loadControl(s)
 	for _, e := range s.Entries {
 		if e == nil || v.entries.Has(e.Key) {
@@ -98,16 +101,23 @@
 	return st, nil
 }
 
-func (v *View) loadCatalogue(s Snapshot) {
+func (v *View) loadCatalogue(s Snapshot) *result.Error {
 	for _, c := range s.Classes {
 		v.classes = v.classes.Put(c.Name, c)
 	}
 	for _, m := range s.Models {
 		v.models = v.models.Put(m.Name, m)
 	}
+	names := make([]ident.Adapter, 0, len(s.Adapters))
 	for _, a := range s.Adapters {
-		v.adapters = v.adapters.Put(a.Name, a)
+		names = append(names, a.Name)
 	}
+	adapters, ok := ordered.FromSorted(ident.Adapter.Compare, names, s.Adapters)
+	if !ok {
+		return damaged("adapters are not in order")
+	}
+	v.adapters = adapters
+	return nil
 }
 
 func (v *View) loadControl(s Snapshot) {
