--- a/core/result/result.go
+++ b/core/result/result.go
@@ -41,7 +41,11 @@
 	RetryBudget      Code = 207
 	LoadFailed       Code = 208
 	OwnerUnreachable Code = 209
-	Superseded       Code = 210
+	Deposed          Code = 210
+	Restarted        Code = 211
+	NotResident      Code = 212
+	Pinned           Code = 213
+	Superseded       Code = 214
 
 	Unknown        Code = 301
 	StillRunning   Code = 302
