--- a/core/coordination/ownership/assigner.go
+++ b/core/coordination/ownership/assigner.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"papayaspoke/core/coordination/witness"
 	"papayaspoke/core/ident"
 	"papayaspoke/core/state"
 )
@@ -12,7 +13,7 @@
 const (
 	// Freshness is how long a confirmation by a majority of witnesses lets a
 	// daemon take new work, counted from when it asked for it.
-	Freshness = 1500 * time.Millisecond
+	Freshness = witness.FreshFor
 	// DriftMargin covers clocks of different rates and the granularity of
 	// timers.
 	DriftMargin = 150 * time.Millisecond
