--- a/core/state/edit.go
+++ b/core/state/edit.go
@@ -218,6 +218,9 @@
 func (e AddWitness) version(v *View) uint64 { return v.witnessVersion }
 
 func (e AddWitness) edit(v *View, next uint64) *result.Error {
+	if err := v.witnessesSettled(); err != nil {
+		return err
+	}
 	if v.witnesses.Has(e.Name) {
 		return result.New(result.ChangeRefused, "daemon %q is a witness already", e.Name)
 	}
@@ -233,6 +236,9 @@
 func (e RemoveWitness) version(v *View) uint64 { return v.witnessVersion }
 
 func (e RemoveWitness) edit(v *View, next uint64) *result.Error {
+	if err := v.witnessesSettled(); err != nil {
+		return err
+	}
 	if !v.witnesses.Has(e.Name) {
 		return result.New(result.ChangeRefused, "daemon %q is not a witness", e.Name)
 	}
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -222,6 +222,9 @@
 	if uint64(v.changes.Len()) > v.sequence {
 		return damaged("%d changes, but the newest has number %d", v.changes.Len(), v.sequence)
 	}
+	if v.witnessIndex > v.index || v.former.Len() > MaxWitnesses {
+		return damaged("witnesses were changed at %d from %d", v.witnessIndex, v.former.Len())
+	}
 	if v.witnesses.Len() > MaxWitnesses || v.quarantined.Len() > MaxQuarantined {
 		return damaged("%d witnesses, %d quarantines", v.witnesses.Len(), v.quarantined.Len())
 	}
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -115,6 +115,23 @@
 	}
 }
 
+func TestWitnessesChangeOneAtATime(t *testing.T) {
+	add := func(id, name string, expected uint64) state.Change {
+		return state.Change{ID: ident.Change(id), Expected: expected, Edit: state.AddWitness{Name: ident.Daemon(name)}}
+	}
+	s := state.New()
+	assert.Equal(t, s.Apply(1, state.FormWitnesses{Names: []ident.Daemon{"a", "b", "c"}}).Code, result.OK)
+	assert.Equal(t, s.Apply(2, state.FormWitnesses{Names: []ident.Daemon{"d"}}).Code, result.ChangeRefused)
+	out := s.Apply(3, state.Batch{Commands: []state.Command{add("1", "d", 1), add("2", "e", 2)}})
+	assert.Equal(t, out.Batch[0].Code, result.OK)
+	assert.Equal(t, out.Batch[1].Code, result.ChangeRefused)
+	s, err := state.Import(s.View().Export())
+	assert.NilError(t, err)
+	former, index := s.View().WitnessChange()
+	assert.DeepEqual(t, former, []ident.Daemon{"a", "b", "c"})
+	assert.Equal(t, index, uint64(3))
+}
+
 func TestRevokeAndAssignInOneBatchIsRefused(t *testing.T) {
 	s := state.New()
 	s.Apply(1, state.Assign{Upstream: "u", Owner: "d"})
--- a/core/state/validate.go
+++ b/core/state/validate.go
@@ -30,8 +30,9 @@
 	MaxBody = 8 << 10
 	// MaxBodies bounds all stored answers together, in bytes.
 	MaxBodies = 64 << 20
-	// MaxHorizon is how far a deadline may lie after the proposal.
-	MaxHorizon = time.Hour
+	// MaxHorizon is how far a deadline may lie after the proposal: as far as
+	// that of any class.
+	MaxHorizon = 24 * time.Hour
 )
 
 // Bounds of a class target in milliseconds.
--- a/core/state/view.go
+++ b/core/state/view.go
@@ -7,6 +7,7 @@
 
 	"papayaspoke/core/ident"
 	"papayaspoke/core/ordered"
+	"papayaspoke/core/result"
 )
 
 // Class is a class of work.
@@ -121,6 +122,7 @@
 		adapters:    ordered.New[ident.Adapter, Adapter](ident.Adapter.Compare),
 		drained:     ordered.New[ident.Daemon, uint64](cmp.Compare),
 		witnesses:   ordered.New[ident.Daemon, uint64](cmp.Compare),
+		former:      ordered.New[ident.Daemon, uint64](cmp.Compare),
 		owners:      ordered.New[ident.Upstream, Ownership](cmp.Compare),
 		changes:     ordered.New[uint64, Record](cmp.Compare),
 		changeIDs:   ordered.New[ident.Change, uint64](cmp.Compare),
@@ -184,6 +186,15 @@
 	return keys(v.former), v.witnessIndex
 }
 
+// witnessesSettled returns an error if the set was changed by the entry that
+// is being applied: two changes at once would skip a set that must agree.
+func (v *View) witnessesSettled() *result.Error {
+	if v.witnessIndex == v.index {
+		return result.New(result.ChangeRefused, "witnesses were changed just now")
+	}
+	return nil
+}
+
 // changeWitnesses replaces the set, and keeps the former one.
 func (v *View) changeWitnesses(to ordered.Map[ident.Daemon, uint64], version uint64) {
 	v.former, v.witnessIndex = v.witnesses, v.index
--- a/io/protocol/peer/state_test.go
+++ b/io/protocol/peer/state_test.go
@@ -102,6 +102,9 @@
 	func(t *rapid.T) state.Command {
 		return state.Expire{Until: time.Unix(1_700_000_000, rapid.Int64Range(1, 4).Draw(t, "nanos")).UTC()}
 	},
+	func(t *rapid.T) state.Command {
+		return state.FormWitnesses{Names: []ident.Daemon{ident.Daemon(word(t)), ident.Daemon(word(t))}}
+	},
 	func(t *rapid.T) state.Command { return state.Quarantine{Digest: word(t), Until: moment(t)} },
 }
 
