Ledger: one proposal of a Begin at a time

Cause: a proposal lasts up to two seconds with the proposer's own retries, but was made again every half second, so at the end of its patience a request always had one under way, and a caller without a leader was told unconfirmed after ten seconds instead of what the confirmed view says. Change: ProposalRetry 2.5 s, Patience 4 s. Conclusion: TestAtMostOnce and TestReply green under -race.

--- a/core/coordination/ledger/event.go
+++ b/core/coordination/ledger/event.go
@@ -28,7 +28,9 @@
 	Code result.Code
 	// Entry is the key's entry in the daemon's own view, nil if there is none.
 	Entry *state.Entry
-	// Fresh is true if a majority of witnesses has confirmed that view.
+	// Fresh is true if a majority of witnesses has confirmed that view. This
+	// tells something of other attempts only because the outcome of a Begin is
+	// given out once it is visible, hence before the attempt sends anything.
 	Fresh bool
 }
 
--- a/core/coordination/ledger/request.go
+++ b/core/coordination/ledger/request.go
@@ -8,10 +8,13 @@
 )
 
 const (
-	// ProposalRetry is when a proposal without an outcome is made again.
-	ProposalRetry = 500 * time.Millisecond
-	// Patience is how long a caller waits for a ledger that cannot be reached.
-	Patience = 5 * time.Second
+	// ProposalRetry is when a proposal without an outcome is made again. It is
+	// longer than one proposal takes with the proposer's own retries, so that a
+	// request whose proposals were all refused knows that none is under way.
+	ProposalRetry = 2500 * time.Millisecond
+	// Patience is how long a caller waits for a ledger that cannot be reached,
+	// before the proposal that is then under way ends.
+	Patience = 4 * time.Second
 	// Retention is how long after its deadline a key is remembered.
 	Retention = time.Hour
 	// ClockBound is how far the wall clocks of two daemons may differ.
