--- a/core/coordination/consensus/event.go
+++ b/core/coordination/consensus/event.go
@@ -16,6 +16,7 @@
 	eventChange
 	eventCompact
 	eventTransfer
+	eventRecover
 )
 
 // Event is an input of [Node.Step]. Make one with the functions below.
@@ -25,6 +26,9 @@
 	number  uint64
 	data    []byte
 	change  Change
+	// hard and snapshot are what to recover to.
+	hard     Hard
+	snapshot Snapshot
 }
 
 // Tick tells that time has passed. Send one every [TickInterval].
@@ -63,6 +67,14 @@
 // has no effect at other nodes.
 func Transfer() Event { return Event{kind: eventTransfer} }
 
+// Recover asks to start a new cluster of this node alone, see
+// [RecoveredState]. The number comes back in an [Outcome]: Committed once the
+// new cluster works, Refused if the node knows of a commit beyond the index.
+func Recover(number uint64, cluster string, index, term uint64, data []byte) Event {
+	st := RecoveredState(cluster, nil, index, term, data)
+	return Event{kind: eventRecover, number: number, hard: st.Hard, snapshot: st.Snapshot}
+}
+
 // Effects is what the caller of [Node.Step] carries out, in the order of the
 // fields.
 type Effects struct {
--- a/core/coordination/consensus/join.go
+++ b/core/coordination/consensus/join.go
@@ -3,11 +3,13 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
 	"papayaspoke/core/coordination/entry"
 	"papayaspoke/core/ident"
+	"papayaspoke/core/result"
 )
 
 const (
@@ -100,6 +102,25 @@
 	}
 }
 
+// onRecover makes the node the only voter of a new cluster. What it held back
+// was promised to the old one, whose proposals stay open for ever.
+func (n *Node) onRecover(now time.Time, ev Event) {
+	if ev.snapshot.Index < n.commit {
+		err := result.New(result.ChangeRefused, "index %d is committed, %d is offered", n.commit, ev.snapshot.Index)
+		n.refuse(ev.number, err)
+		return
+	}
+	n.becomeFollower(now, max(n.hard.Term, ev.hard.Term)+1, Voter{})
+	n.hard.Cluster = ev.hard.Cluster
+	n.held, n.probes = nil, make(map[ident.Daemon]probe)
+	n.resolveUpTo(math.MaxUint64)
+	ev.snapshot.Members = NewMembers([]Voter{n.self}, nil)
+	n.install(ev.snapshot)
+	n.electionAt = now
+	// The first entry of the new cluster is the noop of its first leader.
+	n.pending = []pending{{ev.number, ev.snapshot.Index + 1, n.hard.Term + 1}}
+}
+
 // adopt reports whether the cluster is the node's own. A node without one
 // makes it its own.
 func (n *Node) adopt(cluster string) bool {
--- a/core/coordination/consensus/join_test.go
+++ b/core/coordination/consensus/join_test.go
@@ -190,23 +190,48 @@
 // TestRecovery starts a new cluster from what the last voter holds, after the
 // disks of the two others are lost.
 func TestRecovery(t *testing.T) {
-	c := newCluster(t, 1, "a", "b", "c")
-	c.elect()
-	c.commit()
-	c.run(time.Second)
-	a, b := c.get("a"), c.get("b")
-	last, _ := a.node.log.term(a.applied)
-	c.crash(a, 0)
-	a.stored = RecoveredState("recovered", []Voter{a.voter()}, a.applied, last, a.digest)
-	c.start(a)
-	c.elect()
-	assert.Equal(t, c.leader(), a)
-	assert.Equal(t, b.node.Cluster(), "cluster1")
-	c.run(5 * time.Second)
-	assert.Equal(t, len(a.node.Members().all()), 1, "an old voter got in")
-	c.wipe(b)
-	c.wipe(c.get("c"))
-	c.heal()
+	cases := map[string]func(c *cluster, a *machine, term uint64){
+		"at the start": func(c *cluster, a *machine, term uint64) {
+			c.crash(a, 0)
+			a.stored = RecoveredState("recovered", []Voter{a.voter()}, a.applied, term, a.digest)
+			c.start(a)
+		},
+		"while running": func(c *cluster, a *machine, term uint64) {
+			c.step(a, Recover(900, "recovered", a.applied-1, term, a.digest))
+			assert.Equal(t, c.outcomes[900].Status, Refused, "it would revert a commit")
+			open := c.propose(a)
+			c.step(a, Recover(901, "recovered", a.applied, term, a.digest))
+			c.elect()
+			assert.Equal(t, c.outcomes[901].Status, Committed)
+			delete(c.outcomes, 901) // it is no command
+			assert.Equal(t, c.outcomes[open].Status, Undetermined)
+		},
+	}
+	for name, recover := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 1, "a", "b", "c")
+			a := c.elect()
+			c.commit()
+			c.run(time.Second)
+			var lost []*machine
+			for _, m := range c.machines {
+				if m.cut = m != a; m.cut {
+					lost = append(lost, m)
+				}
+			}
+			recover(c, a, a.node.log.lastTerm())
+			c.elect()
+			assert.Equal(t, c.leader(), a)
+			assert.Equal(t, a.node.Cluster(), "recovered")
+			c.crash(lost[1], 0)
+			lost[0].cut, lost[1].cut = false, false
+			c.run(5 * time.Second)
+			assert.Equal(t, len(a.node.Members().all()), 1, "the old voter got in")
+			c.wipe(lost[0])
+			c.wipe(lost[1])
+			c.heal()
+		})
+	}
 }
 
 // TestWhoMayJoin lets identities probe a leader.
--- a/core/coordination/consensus/node.go
+++ b/core/coordination/consensus/node.go
@@ -176,6 +176,7 @@
 	eventChange:   (*Node).onChange,
 	eventCompact:  (*Node).onCompact,
 	eventTransfer: (*Node).onTransfer,
+	eventRecover:  (*Node).onRecover,
 }
 
 func (n *Node) tick(now time.Time) {
--- a/io/transport/disk/disk_test.go
+++ b/io/transport/disk/disk_test.go
@@ -189,6 +189,17 @@
 	}
 }
 
+// TestMissingSnapshotIsDamage checks the case where no entry shows the gap.
+func TestMissingSnapshotIsDamage(t *testing.T) {
+	path := filled(t)
+	f := open(t, path)
+	assert.NilError(t, f.Write([]consensus.Persist{withSnapshot(batch(1, 1, 1, 0), 50, 1)}))
+	assert.NilError(t, f.Close())
+	assert.NilError(t, os.Remove(filepath.Join(path, snapshotName(2))))
+	_, err := Open(path, "a")
+	assert.Equal(t, result.CodeOf(err), result.DiskDamaged)
+}
+
 func TestForeignFolder(t *testing.T) {
 	path := filled(t)
 	_, err := Open(path, "b")
--- a/io/transport/disk/folder.go
+++ b/io/transport/disk/folder.go
@@ -248,9 +248,6 @@
 		}
 	}
 	dir := f.file(logName(g))
-	if err := os.RemoveAll(dir); err != nil {
-		return err
-	}
 	log, err := wal.Open(dir, logOptions())
 	if err != nil {
 		return err
