--- a/core/coordination/consensus/cluster_test.go
+++ b/core/coordination/consensus/cluster_test.go
@@ -50,7 +50,9 @@
 	digests   map[uint64][]byte
 	newest    uint64
 	leaders   map[string]Voter
-	members   config
+	// changes are the committed configurations, members the newest.
+	changes []Members
+	members config
 	// dead holds identities whose disk is lost.
 	dead     map[Voter]bool
 	sent     uint64
@@ -187,6 +189,7 @@
 		ms, err := DecodeMembers(e.Data)
 		assert.NilError(c.t, err)
 		c.members = config{e.Index, ms}
+		c.changes = append(c.changes, ms)
 	}
 }
 
