--- a/core/coordination/dispatch/dispatcher.go
+++ b/core/coordination/dispatch/dispatcher.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"papayaspoke/core/coordination/dispatch/budget"
+	"papayaspoke/core/coordination/dispatch/demand"
 	"papayaspoke/core/coordination/dispatch/quarantine"
 	"papayaspoke/core/coordination/dispatch/retry"
 	"papayaspoke/core/ident"
@@ -31,6 +32,7 @@
 	retries    *retry.Budget
 	backoff    *retry.Backoff
 
+	admission admission
 	// asked are the wants of the newest Ask, and askedAt is when it was made.
 	asked   []budget.Want
 	askedAt time.Time
@@ -54,6 +56,7 @@
 		quarantine: quarantine.New(),
 		retries:    retry.NewBudget(),
 		backoff:    retry.NewBackoff(),
+		admission:  admission{share: 1, credit: 1},
 	}
 }
 
@@ -92,8 +95,11 @@
 		d.restarted(now, ev)
 	case Granted:
 		d.granted(now, ev)
+	case Admitted:
+		d.admission.share = ev.Share
 	case BudgetLost:
 		d.fallback, d.share = true, ev.Share
+		d.admission.share = 1
 	case BudgetFound:
 		d.fallback = false
 	case Quarantines:
@@ -134,6 +140,7 @@
 		busyUntil:   ev.BusyUntil,
 		residents:   make(map[ident.Adapter]*resident),
 		lines:       make(map[ident.Adapter]*line),
+		demand:      demand.NewTable(),
 	}
 	i, _ := slices.BinarySearchFunc(d.replicas, p.name, compareName)
 	d.replicas = slices.Insert(d.replicas, i, p)
@@ -202,6 +209,11 @@
 	return d.quarantine.Verdict(now, r.Digest)
 }
 
+// Verdict returns what is known of a body at now, for routing.
+func (d *Dispatcher) Verdict(now time.Time, body quarantine.Digest) quarantine.Verdict {
+	return d.quarantine.Verdict(now, body)
+}
+
 // place lets a request wait for one of the replicas, or ends it if there is
 // none.
 func (d *Dispatcher) place(now time.Time, r *request) {
@@ -211,22 +223,22 @@
 		return
 	}
 	p := d.find(cs[d.policy.Choose(r.Request, cs)].Upstream)
-	e := d.estimate(r)
-	e.Wait = d.queueTime(p, r)
-	if !r.alone && !d.runsNow(p, r) && d.policy.Hopeless(now, r.Request, e) {
+	wait := d.queueTime(p, r)
+	if !r.alone && !d.runsNow(p, r) && d.policy.Hopeless(now, r.Request, d.estimate(now.Add(wait), r)) {
 		err := result.New(result.Overloaded, "the wait is longer than the target")
-		d.refuse(r, err.WithRetryAfter(now.Add(max(e.Wait, time.Second))))
+		d.refuse(r, err.WithRetryAfter(now.Add(max(wait, time.Second))))
 		return
 	}
-	p.enqueue(r, d.policy.Compare)
-	d.countDemand(now, p, r)
-}
-
-// countDemand counts the demand of a request that now waits for p.
-func (d *Dispatcher) countDemand(now time.Time, p *replica, r *request) {
-	if res := p.residents[r.Adapter]; res != nil {
-		res.demand.Add(now, 1)
+	if !d.admit(p, r) {
+		err := result.New(result.Overloaded, "more adapters are asked for than can be loaded")
+		d.refuse(r, err.WithRetryAfter(now.Add(retryMiss)))
+		return
 	}
+	if r.alone && !p.isolates() {
+		d.emit(Announce{Upstream: p.name})
+	}
+	p.enqueue(r, d.policy.Compare)
+	p.demand.Add(now, r.Adapter, 1)
 }
 
 // candidates returns the replicas that r may wait for. Replicas that run
@@ -279,7 +291,8 @@
 		return
 	}
 	if r.ran {
-		d.emit(Fail{Request: r.ID, Err: ranError(r, err)})
+		again := r.Idempotent && err.Code() == result.NoUpstream
+		d.emit(Fail{Request: r.ID, Err: ranError(r, err), Retry: again})
 		return
 	}
 	d.emit(Refuse{Request: r.ID, Err: err})
--- a/core/coordination/dispatch/load.go
+++ b/core/coordination/dispatch/load.go
@@ -89,7 +89,7 @@
 // latestStart returns when a load for r must start so that r can meet its
 // deadline, but never a time that has passed: what still waits is wanted.
 func (d *Dispatcher) latestStart(now time.Time, r *request) time.Time {
-	t := r.Deadline.Add(-d.estimate(r).Run - d.loads.span())
+	t := r.Deadline.Add(-d.runTime(r) - d.loads.span())
 	if soon := now.Add(time.Second); t.Before(soon) && r.alone {
 		return soon
 	}
@@ -119,7 +119,13 @@
 		return
 	}
 	d.asked, d.askedAt = wants, now
-	d.emit(AskPermits{Ask: budget.Ask{Owner: d.self, Wants: slices.Clone(wants), Fallback: d.fallback, Loading: d.loading()}})
+	d.emit(AskPermits{Ask: budget.Ask{
+		Owner:    d.self,
+		Wants:    slices.Clone(wants),
+		Fallback: d.fallback,
+		Misses:   d.admission.misses,
+		Loading:  d.loading(),
+	}})
 }
 
 func (d *Dispatcher) askDue(now time.Time, wants []budget.Want) bool {
@@ -213,7 +219,6 @@
 		d.backoff.Loaded(pair)
 		d.loads.add(now.Sub(load.ordered))
 		p.residents[load.adapter] = &resident{used: now}
-		p.residents[load.adapter].demand.Add(now, float64(p.lineLength(load.adapter)))
 	}
 	d.emit(Announce{Upstream: p.name})
 }
@@ -244,13 +249,6 @@
 	return false
 }
 
-func (p *replica) lineLength(a ident.Adapter) int {
-	if l := p.lines[a]; l != nil {
-		return len(l.requests)
-	}
-	return 0
-}
-
 // dropLoad ends the open load and returns its permit.
 func (d *Dispatcher) dropLoad(p *replica) {
 	if p.load != nil && p.load.permit != 0 {
--- a/io/standin/cluster/call.go
+++ b/io/standin/cluster/call.go
@@ -122,3 +122,30 @@
 func Within(d time.Duration) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), d)
 }
+
+// Dump is the part of a daemon's state dump that tests look at.
+type Dump struct {
+	Leader   string `json:"leader"`
+	Role     string `json:"role"`
+	Applied  uint64 `json:"applied"`
+	Visible  uint64 `json:"visible"`
+	Standing bool   `json:"standing"`
+	Fresh    string `json:"fresh"`
+	Version  uint64 `json:"version"`
+	Replicas []struct {
+		Upstream  string   `json:"upstream"`
+		Fence     uint64   `json:"fence"`
+		Claimed   bool     `json:"claimed"`
+		Residents []string `json:"residents"`
+	} `json:"replicas"`
+}
+
+// Dump returns the state dump of a daemon.
+func (c *Cluster) Dump(ctx context.Context, name string) (Dump, error) {
+	var d Dump
+	raw, err := c.Operator(name).Get(ctx, "/v1/state")
+	if err != nil {
+		return d, err
+	}
+	return d, json.Unmarshal(raw, &d)
+}
