--- a/core/coordination/consensus/join.go
+++ b/core/coordination/consensus/join.go
@@ -1,7 +1,6 @@
 package consensus
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -230,7 +229,7 @@
 // namesake returns the voter in vs with the daemon of v but another disk.
 func namesake(vs []Voter, v Voter) (Voter, bool) {
 	i := slices.IndexFunc(vs, func(o Voter) bool {
-		return cmp.Compare(o.Daemon, v.Daemon) == 0 && o.Disk != v.Disk
+		return o.Daemon == v.Daemon && o.Disk != v.Disk
 	})
 	if i < 0 {
 		return Voter{}, false
--- a/core/coordination/consensus/node_test.go
+++ b/core/coordination/consensus/node_test.go
@@ -269,6 +269,14 @@
 	assert.Equal(t, m.applied, c.newest)
 }
 
+func TestOtherClustersAreRefused(t *testing.T) {
+	n, now := scripted(5)
+	m := Message{Kind: Append, Cluster: "other", From: vb, To: va, Term: 9, Index: 1, LogTerm: 1}
+	e := n.Step(now, Receive(m))
+	assert.Equal(t, n.Term(), uint64(5))
+	assert.Equal(t, len(e.Send), 0)
+}
+
 func TestConflictingLogIsRefused(t *testing.T) {
 	n, now := scripted(5, 2, 2, 4)
 	e := n.Step(now, from(vb, Message{Kind: Append, Term: 5, Index: 4, LogTerm: 3, Commit: 4}))
--- a/core/coordination/consensus/voter.go
+++ b/core/coordination/consensus/voter.go
@@ -93,16 +93,16 @@
 		return m, result.New(result.ChangeRefused, "incomplete identity %q", c.Voter)
 	}
 	voter, learner := m.IsVoter(c.Voter), m.IsLearner(c.Voter)
-	other := func(v Voter) bool { return v == c.Voter }
+	changed := func(v Voter) bool { return v == c.Voter }
 	switch {
 	case c.Kind == AddLearner && !voter && !learner:
 		return NewMembers(m.voters, append(m.Learners(), c.Voter)), nil
 	case c.Kind == Promote && learner:
-		return NewMembers(append(m.Voters(), c.Voter), slices.DeleteFunc(m.Learners(), other)), nil
+		return NewMembers(append(m.Voters(), c.Voter), slices.DeleteFunc(m.Learners(), changed)), nil
 	case c.Kind == Remove && learner:
-		return NewMembers(m.voters, slices.DeleteFunc(m.Learners(), other)), nil
+		return NewMembers(m.voters, slices.DeleteFunc(m.Learners(), changed)), nil
 	case c.Kind == Remove && voter && len(m.voters) > 1:
-		return NewMembers(slices.DeleteFunc(m.Voters(), other), m.learners), nil
+		return NewMembers(slices.DeleteFunc(m.Voters(), changed), m.learners), nil
 	}
 	return m, result.New(result.ChangeRefused, "change %d does not fit member %s", c.Kind, c.Voter)
 }
