Replicated log: the yielding candidate is tested where it matters

Cause: run again against the shortened tests, two guards were green when removed: yielding to another candidate, since 100 random kills seldom let two voters time out together, and dropping held messages at a recovery. Change: in a quarter of the kills all voters time out together and as late as can be; held messages stay, as the old cluster's id already disarms them.

--- a/core/coordination/consensus/join.go
+++ b/core/coordination/consensus/join.go
@@ -101,8 +101,9 @@
 	}
 }
 
-// onRecover makes the node the only voter of a new cluster. What it held back
-// was promised to the old one, whose proposals stay open for ever.
+// onRecover makes the node the only voter of a new cluster. What it still holds
+// back carries the old cluster's id, so that nobody in the new one counts it.
+// Proposals to the old one stay open for ever.
 func (n *Node) onRecover(now time.Time, ev Event) {
 	if ev.snapshot.Index < n.commit {
 		err := result.New(result.ChangeRefused, "index %d is committed, %d is offered", n.commit, ev.snapshot.Index)
@@ -111,7 +112,7 @@
 	}
 	n.becomeFollower(now, max(n.hard.Term, ev.hard.Term)+1, Voter{})
 	n.hard.Cluster = ev.hard.Cluster
-	n.held, n.probes = nil, make(map[ident.Daemon]probe)
+	n.probes = make(map[ident.Daemon]probe)
 	n.resolveUpTo(math.MaxUint64)
 	ev.snapshot.Members = NewMembers([]Voter{n.self}, nil)
 	n.install(ev.snapshot)
--- a/core/coordination/consensus/node_test.go
+++ b/core/coordination/consensus/node_test.go
@@ -329,7 +329,8 @@
 }
 
 // TestLeaderIsFoundAfterAKill checks the target of 1.5 s. On the slow network
-// every message and every sync takes a whole tick.
+// every message and every sync takes a whole tick. In a quarter of the cases
+// all voters miss the leader at the same moment, as late as can be.
 func TestLeaderIsFoundAfterAKill(t *testing.T) {
 	const target = 1500 * time.Millisecond
 	cases := map[string]struct {
@@ -349,6 +350,11 @@
 				l := c.elect()
 				c.run(time.Duration(seed) * 7 * time.Millisecond)
 				c.crash(l, 0)
+				for _, m := range c.machines {
+					if seed%4 == 0 {
+						m.node.electionAt = c.now.Add(ElectionTimeout + ElectionSpread)
+					}
+				}
 				killed := c.now
 				for c.leader() == nil && c.now.Sub(killed) < time.Minute {
 					c.tick(TickInterval)
