--- a/io/transport/disk/disk_test.go
+++ b/io/transport/disk/disk_test.go
@@ -250,21 +250,46 @@
 	}
 }
 
-// TestInterruptedGeneration leaves the files of a snapshot that never came
-// into use.
+// TestInterruptedGeneration puts files of a folder with a new snapshot over
+// those of the folder before it, as crashes at each step leave them.
 func TestInterruptedGeneration(t *testing.T) {
-	path := filled(t)
-	f := open(t, path)
-	assert.NilError(t, f.writeGeneration(2, consensus.State{Hard: consensus.Hard{Term: 9}, Snapshot: consensus.Snapshot{Index: 3}}))
-	assert.NilError(t, f.Close())
-	f = open(t, path)
-	assert.Equal(t, len(f.State().Entries), 50)
-	assert.Equal(t, f.State().Hard.Term, uint64(1))
-	assert.NilError(t, f.Write([]consensus.Persist{withSnapshot(batch(1, 1, 1, 0), 50, 1)}))
-	assert.NilError(t, f.Close())
-	f = open(t, path)
-	assert.Equal(t, f.State().Snapshot.Index, uint64(50))
-	assert.NilError(t, f.Close())
+	cases := map[string]struct {
+		reached []string
+		// snapshot is the index of the snapshot that is in force.
+		snapshot uint64
+	}{
+		"snapshot":    {[]string{"snapshot-2"}, 0},
+		"log":         {[]string{"snapshot-2", "log-2"}, 0},
+		"current":     {[]string{"snapshot-2", "log-2", currentName}, 30},
+		"log alone":   {[]string{"log-2"}, 0},
+		"temporaries": {[]string{".snapshot-217", ".current17"}, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			before, after := filled(t), filled(t)
+			f := open(t, after)
+			assert.NilError(t, f.Write([]consensus.Persist{withSnapshot(batch(1, 1, 31, 20), 30, 1)}))
+			assert.NilError(t, f.Close())
+			for _, file := range []string{".snapshot-217", ".current17"} {
+				assert.NilError(t, os.WriteFile(filepath.Join(after, file), nil, 0o600))
+			}
+			for _, file := range tc.reached {
+				assert.NilError(t, os.RemoveAll(filepath.Join(before, file)))
+				assert.NilError(t, os.Rename(filepath.Join(after, file), filepath.Join(before, file)))
+			}
+			for range 2 {
+				f = open(t, before)
+				assert.Equal(t, f.State().Snapshot.Index, tc.snapshot)
+				assert.Equal(t, f.State().Snapshot.Index+uint64(len(f.State().Entries)), uint64(50))
+				assert.NilError(t, f.Write([]consensus.Persist{withSnapshot(batch(1, 1, tc.snapshot+2, int(50-tc.snapshot-1)), tc.snapshot+1, 1)}))
+				tc.snapshot++
+				assert.NilError(t, f.Close())
+			}
+			left, err := os.ReadDir(before)
+			assert.NilError(t, err)
+			assert.Equal(t, len(left), 5, "%v", left)
+		})
+	}
 }
 
 func TestRecover(t *testing.T) {
