--- a/core/coordination/consensus/join.go
+++ b/core/coordination/consensus/join.go
@@ -1,13 +1,14 @@
 package consensus
 
 import (
-	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
 	"papayaspoke/core/coordination/entry"
 	"papayaspoke/core/ident"
+	"papayaspoke/core/result"
 )
 
 const (
@@ -100,6 +101,26 @@
 	}
 }
 
+// onRecover makes the node the only voter of a new cluster. What it still holds
+// back carries the old cluster's id, so that nobody in the new one counts it.
+// Proposals to the old one stay open for ever.
+func (n *Node) onRecover(now time.Time, ev Event) {
+	if ev.snapshot.Index < n.commit {
+		err := result.New(result.ChangeRefused, "index %d is committed, %d is offered", n.commit, ev.snapshot.Index)
+		n.refuse(ev.number, err)
+		return
+	}
+	n.becomeFollower(now, max(n.hard.Term, ev.hard.Term)+1, Voter{})
+	n.hard.Cluster = ev.hard.Cluster
+	n.probes = make(map[ident.Daemon]probe)
+	n.resolveUpTo(math.MaxUint64)
+	ev.snapshot.Members = NewMembers([]Voter{n.self}, nil)
+	n.install(ev.snapshot)
+	n.electionAt = now
+	// The first entry of the new cluster is the noop of its first leader.
+	n.pending = []pending{{ev.number, ev.snapshot.Index + 1, n.hard.Term + 1}}
+}
+
 // adopt reports whether the cluster is the node's own. A node without one
 // makes it its own.
 func (n *Node) adopt(cluster string) bool {
@@ -209,7 +230,7 @@
 // namesake returns the voter in vs with the daemon of v but another disk.
 func namesake(vs []Voter, v Voter) (Voter, bool) {
 	i := slices.IndexFunc(vs, func(o Voter) bool {
-		return cmp.Compare(o.Daemon, v.Daemon) == 0 && o.Disk != v.Disk
+		return o.Daemon == v.Daemon && o.Disk != v.Disk
 	})
 	if i < 0 {
 		return Voter{}, false
