Witnesses that stood by a read count above its index only

A witness that restarts and stands by a linearizable read has the entries again, but has forgotten the incarnations that it had noted. If another witness had recovered from its earlier run, nobody counted refutes that one's old answer: it is paired with the reader's new one, and a majority of two, neither of which has the entry, then confirms a poll. Ruled out: writing incarnations to the log at each read (recoveries from witnesses would have to be written too, and these must work without voters); no reads at all (then nothing comes up after all daemons have restarted). Change: such a witness counts above the read's index only, and passes this floor on to whoever recovers from it; the leader asks for an entry by NoopWanted if nothing can be found visible otherwise. Reads are asked for 500 ms after the start, when witnesses have not sufficed.

--- a/core/coordination/witness/doc.go
+++ b/core/coordination/witness/doc.go
@@ -47,7 +47,17 @@
 // began, so who has applied the read's index lacks nothing. It needs no
 // witness that stands. It is the way of a cluster's first start and of one
 // whose daemons have all restarted at once; hence neither needs a rule of its
-// own. While not standing, a daemon asks for such a read by [ReadWanted].
+// own. While not standing, a daemon asks for such a read by [ReadWanted], but
+// only after the witnesses have had time to answer.
+//
+// A read brings the entries, but not the vector that was forgotten: another
+// witness may have recovered from the earlier run, and nobody else be left
+// that refutes its old answer. So who stood by a read of index r counts, for
+// finding entries visible, above r only: an answer that can be wrong about an
+// entry above r was given after the read, and so was the note that refutes it.
+// This floor passes on to whoever recovers from such a witness. Entries up to
+// the floor become visible along with a later one; if there is none, the
+// leader asks for one by [NoopWanted].
 //
 // # Changing the set
 //
--- a/core/coordination/witness/message.go
+++ b/core/coordination/witness/message.go
@@ -42,6 +42,8 @@
 	Standing bool
 	// Applied is the last index that From's state machine had applied.
 	Applied uint64
+	// Floor is the index that From's word counts above only.
+	Floor uint64
 	// Visible is the greatest index that From knew to be visible.
 	Visible uint64
 	// Digest is that of From's vector.
@@ -155,6 +157,10 @@
 // no-op is one. If it can't be had nothing need be done.
 type ReadWanted struct{}
 
+// NoopWanted asks the leader to commit an entry, since those that there are
+// can't be found visible: too many witnesses count for later ones only.
+type NoopWanted struct{}
+
 // Superseded tells that a later process has this daemon's name. This one
 // takes no more part and should end.
 type Superseded struct{ By ident.Incarnation }
@@ -167,4 +173,5 @@
 func (Fresh) effect()      {}
 func (Stands) effect()     {}
 func (ReadWanted) effect() {}
+func (NoopWanted) effect() {}
 func (Superseded) effect() {}
--- a/core/coordination/witness/offer.go
+++ b/core/coordination/witness/offer.go
@@ -40,19 +40,23 @@
 
 // has returns the index that d, as a witness, is sure to have. An answer that
 // was given by an earlier incarnation than the newest heard of counts for
-// nothing: that run's memory is gone.
+// nothing: that run's memory is gone. Nor does one that is not above its floor.
 func (w *Witness) has(d ident.Daemon) uint64 {
 	if d == w.self {
-		if w.standing {
-			return w.applied
-		}
-		return 0
+		return above(w.floor, w.applied, w.standing)
 	}
 	a := w.acks[d]
-	if a == nil || !a.standing || a.inc != w.known.newest[d] {
+	if a == nil || a.inc != w.known.newest[d] {
+		return 0
+	}
+	return above(a.floor, a.applied, a.standing)
+}
+
+func above(floor, applied uint64, standing bool) uint64 {
+	if !standing || applied <= floor {
 		return 0
 	}
-	return a.applied
+	return applied
 }
 
 // offer sends new entries to the witnesses that lack them.
--- a/core/coordination/witness/rapid_test.go
+++ b/core/coordination/witness/rapid_test.go
@@ -60,6 +60,7 @@
 	case what < 95:
 		c.catchUp(d)
 		c.read(d)
+		c.noop(d)
 	case what < 98:
 		for _, name := range c.names {
 			c.step(c.nodes[name], witness.Leading{On: name == d})
--- a/core/coordination/witness/round.go
+++ b/core/coordination/witness/round.go
@@ -29,6 +29,8 @@
 	asked, answered []ident.Daemon
 	// need is the greatest index that any answer named.
 	need uint64
+	// floor is the greatest of any answer that counted.
+	floor uint64
 }
 
 func (w *Witness) tick(now time.Time) {
@@ -36,6 +38,10 @@
 		w.readAt = now.Add(readInterval)
 		w.emit(ReadWanted{})
 	}
+	if w.leading && w.standing && w.applied > w.visible && !now.Before(w.noopAt) {
+		w.noopAt = now.Add(noopInterval)
+		w.emit(NoopWanted{})
+	}
 	if n := len(w.rounds); n > 0 && !w.rounds[n-1].widenAt.IsZero() && !now.Before(w.rounds[n-1].widenAt) {
 		w.widen(w.rounds[n-1])
 	}
@@ -151,7 +157,11 @@
 
 func (r *round) add(resp Response) {
 	r.need = max(r.need, resp.Applied)
-	if resp.Standing && !slices.Contains(r.answered, resp.From) {
+	if !resp.Standing {
+		return
+	}
+	r.floor = max(r.floor, resp.Floor)
+	if !slices.Contains(r.answered, resp.From) {
 		r.answered = append(r.answered, resp.From)
 	}
 }
@@ -164,6 +174,7 @@
 		w.acks[resp.From] = a
 	}
 	a.applied = max(a.applied, resp.Applied)
+	a.floor = max(a.floor, resp.Floor)
 	a.standing = a.standing || resp.Standing
 	a.digest = resp.Digest
 	a.missed = false
@@ -175,12 +186,12 @@
 // confirm stands and extends freshness as far as the rounds allow.
 func (w *Witness) confirm() {
 	if w.readDone && w.applied >= w.readIndex {
-		w.stand()
+		w.stand(w.readIndex)
 	}
 	for i := len(w.rounds) - 1; i >= 0; i-- {
 		r := w.rounds[i]
 		if w.recovers(r) {
-			w.stand()
+			w.stand(r.floor)
 		}
 		if !w.confirms(r) {
 			continue
@@ -194,11 +205,11 @@
 	}
 }
 
-func (w *Witness) stand() {
+func (w *Witness) stand(floor uint64) {
 	if w.standing {
 		return
 	}
-	w.standing = true
+	w.standing, w.floor = true, floor
 	w.emit(Stands{})
 }
 
--- a/core/coordination/witness/witness.go
+++ b/core/coordination/witness/witness.go
@@ -20,6 +20,7 @@
 	fetchTimeout     = 300 * time.Millisecond
 	offerTimeout     = 300 * time.Millisecond
 	readInterval     = 500 * time.Millisecond
+	noopInterval     = time.Second
 )
 
 // Witness decides, for one daemon, what it has to apply, what is visible and
@@ -43,6 +44,9 @@
 	// standing is true once everything visible is sure to be applied here. It
 	// only turns false when superseded does.
 	standing bool
+	// floor is the index that this run counts above only; see the package
+	// comment. It does not change once standing.
+	floor uint64
 	// superseded is true once a later process is known to have this name.
 	superseded bool
 	// known holds the newest incarnation heard of every daemon, inc included.
@@ -67,9 +71,9 @@
 	leading bool
 	// freshUntil never falls unless superseded.
 	freshUntil time.Time
-	// pollAt, readAt and fetchUntil are deadlines of the next poll, the next
-	// read and of the fetch that is under way.
-	pollAt, readAt, fetchUntil time.Time
+	// pollAt, readAt and noopAt are deadlines of the next poll, read and
+	// no-op, and fetchUntil of the fetch that is under way.
+	pollAt, readAt, noopAt, fetchUntil time.Time
 
 	// unanswered are requests that wait for the state machine to catch up
 	// with handed.
@@ -84,6 +88,8 @@
 	// said it had.
 	inc     ident.Incarnation
 	applied uint64
+	// floor is the index that it counts above only.
+	floor uint64
 	// standing is false if the answer doesn't count as a witness's.
 	standing bool
 	// digest is that of the vector that it had.
@@ -116,7 +122,8 @@
 		acks:   map[ident.Daemon]*ack{},
 		offset: c.Rand.IntN(1 << 16),
 		pollAt: now.Add(time.Duration(c.Rand.Int64N(int64(recoveryInterval)))),
-		readAt: now,
+		readAt: now.Add(readInterval),
+		noopAt: now,
 	}
 	w.known.note(c.Self, c.Incarnation)
 	return w
@@ -314,6 +321,7 @@
 		Round:       r.Request.Round,
 		Standing:    w.standing,
 		Applied:     w.applied,
+		Floor:       w.floor,
 		Visible:     w.visible,
 		Digest:      w.known.digest,
 	}
