Membership: a clock that ran backwards, tests for guards that had none

Cause: a daemon restarted with its clock behind heard its predecessor's record and took itself for superseded. And taking guards out one by one on a scratch copy left five of them without a test that turned red. Ruled out: believing any greater incarnation for good; two live processes of one name must end with one. A witness asks for a read only if standing is of use to it. Versions on the wire no longer carry their bucket, which follows from the key.

--- a/core/coordination/membership/membership.go
+++ b/core/coordination/membership/membership.go
@@ -19,6 +19,9 @@
 	// refreshPerRecord makes the interval grow with the number of records, so
 	// that all of them together bring at most 15 versions a second.
 	refreshPerRecord = 100 * time.Millisecond
+	// settleTime is how long after the start the record of an earlier process
+	// of the same name may still turn up.
+	settleTime = 10 * time.Second
 	// graceExpiry is added to several refresh intervals for a deadline.
 	graceExpiry = 5 * time.Second
 	// fanOut is how many daemons are asked in each interval.
@@ -45,6 +48,9 @@
 	suspects map[ident.Daemon]*suspect
 	// superseded is true once a later process is known to have this name.
 	superseded bool
+	// settledAt is when a greater incarnation under this name is no longer
+	// taken for that of an earlier process.
+	settledAt time.Time
 	// changed is true if the directory has changed in this step.
 	changed bool
 
@@ -76,6 +82,8 @@
 		gossipAt: now.Add(time.Duration(c.Rand.Int64N(int64(gossipInterval)))),
 		repairAt: now,
 		expireAt: now,
+
+		settledAt: now.Add(settleTime),
 	}
 	for _, s := range c.Seeds {
 		if s != c.Own.Peer {
@@ -158,7 +166,7 @@
 
 // put takes over a record that may be newer.
 func (m *Membership) put(now time.Time, r Record) {
-	if r.Daemon != nil && r.Daemon.Name == m.own.Name && !m.isOwn(r.Daemon.Version) {
+	if r.Daemon != nil && r.Daemon.Name == m.own.Name && !m.isOwn(now, r.Daemon.Version) {
 		return
 	}
 	if !m.table.put(now, r) {
@@ -171,13 +179,24 @@
 }
 
 // isOwn reports whether v, of a record with this daemon's name, is the one
-// that it has published last. It notices a later process of that name.
-func (m *Membership) isOwn(v Version) bool {
-	if v.Incarnation > m.own.Version.Incarnation && !m.superseded {
-		m.superseded = true
-		m.emit(Superseded{By: v.Incarnation})
+// that it has published last. It notices a later process of that name, unless
+// this one has only just started: then its clock ran backwards over the
+// restart, and it takes a greater incarnation than its predecessor's.
+func (m *Membership) isOwn(now time.Time, v Version) bool {
+	if m.superseded || v == m.own.Version {
+		return true
+	}
+	if v.Incarnation <= m.own.Version.Incarnation {
+		return false
+	}
+	if now.Before(m.settledAt) {
+		m.own.Version.Incarnation = v.Incarnation + 1
+		m.publish(now)
+		return false
 	}
-	return v == m.own.Version || m.superseded
+	m.superseded = true
+	m.emit(Superseded{By: v.Incarnation})
+	return true
 }
 
 // announced takes what an upstream said. What matters at once is spread at
--- a/core/coordination/membership/membership_test.go
+++ b/core/coordination/membership/membership_test.go
@@ -50,9 +50,13 @@
 }
 
 func (f *fleet) start(name, address string) *Membership {
+	return f.startAs(name, address, ident.Incarnation(f.now.UnixMilli())<<16)
+}
+
+func (f *fleet) startAs(name, address string, inc ident.Incarnation) *Membership {
 	m := New(f.now, Config{
 		Own: Daemon{
-			Name: ident.Daemon(name), Version: Version{Incarnation: ident.Incarnation(f.now.UnixMilli()) << 16},
+			Name: ident.Daemon(name), Version: Version{Incarnation: inc},
 			Peer: address, Caller: address, Operator: address, DataCentre: "glyfada",
 		},
 		Seeds: []string{"127.0.0.1:1000", "127.0.0.1:1001"},
@@ -204,9 +208,38 @@
 	assert.Equal(t, f.knowing("e1", isBusy), 3)
 }
 
-func TestLaterRunOfTheSameNameWins(t *testing.T) {
+func TestClockRanBackwards(t *testing.T) {
 	f := newFleet(5)
 	f.run(2 * time.Second)
+	m := f.startAs("d004", "127.0.0.1:1004", 1)
+	before, _ := f.members[f.addresses[0]].Daemon("d004")
+	f.run(2 * time.Second)
+	after, _ := f.members[f.addresses[0]].Daemon("d004")
+	assert.Assert(t, after.Version.Incarnation > before.Version.Incarnation)
+	assert.Equal(t, after.Version.Incarnation, m.Own().Version.Incarnation)
+	assert.Assert(t, !f.superseded["127.0.0.1:1004"])
+}
+
+// TestLeavingIsNotUndone has a daemon miss that an upstream leaves, and come
+// back with its older record.
+func TestLeavingIsNotUndone(t *testing.T) {
+	f := newFleet(5)
+	f.run(2 * time.Second)
+	f.step(f.addresses[0], Announce{Upstream: engine("e1", 1)})
+	f.run(2 * time.Second)
+	f.cut = func(from, to string) bool { return from == f.addresses[4] || to == f.addresses[4] }
+	leaving := engine("e1", 2)
+	leaving.Leaving = true
+	f.step(f.addresses[0], Announce{Upstream: leaving})
+	f.run(time.Second)
+	f.cut = nil
+	f.run(3 * time.Second)
+	assert.Equal(t, f.knowing("e1", func(u Upstream) bool { return u.Leaving }), 5)
+}
+
+func TestLaterRunOfTheSameNameWins(t *testing.T) {
+	f := newFleet(5)
+	f.run(settleTime + 2*time.Second)
 	f.start("d004", "127.0.0.1:2000")
 	f.run(2 * time.Second)
 	assert.Assert(t, f.superseded["127.0.0.1:1004"])
@@ -244,12 +277,54 @@
 	f := newFleet(5)
 	f.run(3 * time.Second)
 	f.cut = func(from, to string) bool { return from == f.addresses[0] && to == f.addresses[4] }
+	for range 60 {
+		f.run(50 * time.Millisecond)
+		for _, a := range f.addresses[1:] {
+			assert.Equal(t, len(f.members[a].Addresses()), 5, a)
+		}
+	}
+}
+
+func TestShortCutHeals(t *testing.T) {
+	f := newFleet(5)
+	f.run(2 * time.Second)
+	f.cut = func(from, to string) bool { return from == f.addresses[4] || to == f.addresses[4] }
+	f.run(2 * time.Second)
+	assert.Equal(t, len(f.members[f.addresses[0]].Addresses()), 4)
+	f.cut = nil
 	f.run(3 * time.Second)
-	for _, a := range f.addresses[1:] {
+	for _, a := range f.addresses {
 		assert.Equal(t, len(f.members[a].Addresses()), 5, a)
 	}
 }
 
+func TestExpiredIsNotTaken(t *testing.T) {
+	f := newFleet(2)
+	u := engine("e1", 1)
+	u.Deadline = f.now
+	f.step(f.addresses[0], Received{Request: Request{From: "d001", Incarnation: 1, Records: []Record{{Upstream: &u}}}})
+	assert.Equal(t, len(f.members[f.addresses[0]].Upstreams()), 0)
+}
+
+func TestMessagesAreBounded(t *testing.T) {
+	f := newFleet(2)
+	f.run(2 * time.Second)
+	for i := range 200 {
+		f.step(f.addresses[0], Announce{Upstream: engine(fmt.Sprintf("e%03d", i), 1)})
+	}
+	sent := 0
+	for range 20 {
+		for _, eff := range f.step(f.addresses[0], Tick{}) {
+			if s, ok := eff.(Send); ok {
+				sent += len(s.Request.Records)
+				assert.Assert(t, recordBytes(s.Request.Records) <= batchBytes)
+			}
+		}
+		f.now = f.now.Add(50 * time.Millisecond)
+	}
+	assert.Assert(t, sent >= 200)
+}
+
 func TestDrainingIsLeftOutOfAddresses(t *testing.T) {
 	f := newFleet(5)
 	f.run(2 * time.Second)
@@ -324,7 +399,7 @@
 }
 
 // TestCost counts what a daemon sends in the steady state, as daemons grow.
-// The bound on bytes is a node's budget for all of control.
+// The bound on bytes is half of a node's budget for all of control.
 func TestCost(t *testing.T) {
 	for name, n := range map[string]int{"11": 11, "100": 100, "520": 520} {
 		t.Run(name, func(t *testing.T) {
@@ -337,7 +412,7 @@
 			bytes := float64(f.bytes) / 4 / float64(n)
 			t.Logf("%.1f messages and %.0f bytes a second per daemon", messages, bytes)
 			assert.Assert(t, messages <= 22, "%.1f", messages)
-			assert.Assert(t, bytes <= 14_000, "%.0f", bytes)
+			assert.Assert(t, bytes <= 7_000, "%.0f", bytes)
 		})
 	}
 }
--- a/core/coordination/membership/message.go
+++ b/core/coordination/membership/message.go
@@ -43,8 +43,6 @@
 
 // KeyVersion tells which version of a record somebody has.
 type KeyVersion struct {
-	// Bucket is that of Key.
-	Bucket  int
 	Key     Key
 	Version Version
 }
--- a/core/coordination/membership/table.go
+++ b/core/coordination/membership/table.go
@@ -140,7 +140,7 @@
 	var out []KeyVersion
 	for _, k := range t.keys() {
 		if b := bucketOf(k); sums[b] != t.sums[b] {
-			out = append(out, KeyVersion{Bucket: b, Key: k, Version: t.items[k].record.Version()})
+			out = append(out, KeyVersion{Key: k, Version: t.items[k].record.Version()})
 		}
 	}
 	return out
--- a/core/coordination/witness/round.go
+++ b/core/coordination/witness/round.go
@@ -34,7 +34,7 @@
 }
 
 func (w *Witness) tick(now time.Time) {
-	if !w.standing && !now.Before(w.readAt) {
+	if w.needsRead() && !now.Before(w.readAt) {
 		w.readAt = now.Add(readInterval)
 		w.emit(ReadWanted{})
 	}
@@ -50,6 +50,13 @@
 	}
 }
 
+// needsRead reports whether standing would be of use: not at a daemon that is
+// no witness, as far as the witnesses are known.
+func (w *Witness) needsRead() bool {
+	members := w.witnesses.members(w.visible)
+	return !w.standing && (len(members) == 0 || slices.Contains(members, w.self))
+}
+
 // poll opens a round.
 func (w *Witness) poll(now time.Time) {
 	interval := pollInterval
--- a/core/coordination/witness/witness_test.go
+++ b/core/coordination/witness/witness_test.go
@@ -52,6 +52,24 @@
 	}
 }
 
+// TestNoGapWhenWitnessesDie ends five of eleven one after the other: the rest
+// never stops being fresh.
+func TestNoGapWhenWitnessesDie(t *testing.T) {
+	c := newCluster(t, 11)
+	c.form()
+	dead := map[ident.Daemon]bool{}
+	c.lose = func(p packet) bool { return dead[p.from.name] || dead[p.to] }
+	for _, d := range c.names[:5] {
+		dead[d] = true
+		for range 30 {
+			c.run(100 * time.Millisecond)
+			for _, other := range c.names[5:] {
+				assert.Assert(t, c.nodes[other].w.FreshUntil().After(c.now), "%s after the end of %s", other, d)
+			}
+		}
+	}
+}
+
 func TestAllRestartAtOnce(t *testing.T) {
 	c := newCluster(t, 5)
 	c.form()
--- a/io/protocol/peer/membership.go
+++ b/io/protocol/peer/membership.go
@@ -32,7 +32,6 @@
 			Key:         encodeKey(v.Key),
 			Incarnation: uint64(v.Version.Incarnation),
 			Sequence:    v.Version.Sequence,
-			Bucket:      uint32(v.Bucket),
 		})
 	}
 	return m
@@ -61,7 +60,6 @@
 	}
 	for _, v := range m.GetVersions() {
 		r.Versions = append(r.Versions, membership.KeyVersion{
-			Bucket:  int(v.GetBucket()),
 			Key:     decodeKey(v.GetKey()),
 			Version: membership.Version{Incarnation: ident.Incarnation(v.GetIncarnation()), Sequence: v.GetSequence()},
 		})
--- a/io/protocol/peer/witness_test.go
+++ b/io/protocol/peer/witness_test.go
@@ -81,7 +81,7 @@
 		},
 		Suspicions: []membership.Suspicion{{Daemon: "b", Incarnation: 4}},
 		Compare:    true, Repair: true, Buckets: []int{0, 100},
-		Versions: []membership.KeyVersion{{Bucket: 3, Key: membership.Key{Upstream: true, Name: "e"}, Version: membership.Version{Incarnation: 1, Sequence: 2}}},
+		Versions: []membership.KeyVersion{{Key: membership.Key{Upstream: true, Name: "e"}, Version: membership.Version{Incarnation: 1, Sequence: 2}}},
 	}
 }
 
