--- a/core/coordination/dispatch/dispatcher.go
+++ b/core/coordination/dispatch/dispatcher.go
@@ -98,8 +98,7 @@
 	case Admitted:
 		d.admission.share = ev.Share
 	case BudgetLost:
-		d.fallback, d.share = true, ev.Share
-		d.admission.share = 1
+		d.budgetLost(now, ev)
 	case BudgetFound:
 		d.fallback = false
 	case Quarantines:
@@ -189,14 +188,8 @@
 	if !req.Retried {
 		d.retries.Arrived(req.Class)
 	}
-	switch d.verdict(now, r) {
-	case quarantine.Convicted:
-		err := result.New(result.Quarantined, "it crashed two upstreams")
-		d.refuse(r, err.WithRetryAfter(d.quarantine.Until(req.Digest)))
-		return
-	case quarantine.Suspect:
-		r.alone = true
-	case quarantine.Clear:
+	if req.Suspect {
+		d.quarantine.Suspect(now, req.Digest)
 	}
 	d.place(now, r)
 }
@@ -214,9 +207,18 @@
 	return d.quarantine.Verdict(now, body)
 }
 
-// place lets a request wait for one of the replicas, or ends it if there is
-// none.
+// place lets a request wait for one of the replicas, or ends it if its body is
+// in quarantine or there is none.
 func (d *Dispatcher) place(now time.Time, r *request) {
+	switch d.verdict(now, r) {
+	case quarantine.Convicted:
+		err := result.New(result.Quarantined, "it crashed two upstreams")
+		d.refuse(r, err.WithRetryAfter(d.quarantine.Until(r.Digest)))
+		return
+	case quarantine.Suspect:
+		r.alone = true
+	case quarantine.Clear:
+	}
 	cs := d.candidates(r)
 	if len(cs) == 0 {
 		d.refuse(r, result.New(result.NoUpstream, "no replica of this owner takes it"))
@@ -229,6 +231,10 @@
 		d.refuse(r, err.WithRetryAfter(now.Add(max(wait, time.Second))))
 		return
 	}
+	if !d.mayLoad() && !p.expects(r.Adapter) {
+		d.refuse(r, result.New(result.NoUpstream, "this owner may not load without the budget's holder"))
+		return
+	}
 	if !d.admit(p, r) {
 		err := result.New(result.Overloaded, "more adapters are asked for than can be loaded")
 		d.refuse(r, err.WithRetryAfter(now.Add(retryMiss)))
--- a/core/coordination/dispatch/world_test.go
+++ b/core/coordination/dispatch/world_test.go
@@ -1,12 +1,9 @@
 package dispatch_test
 
 import (
-	"cmp"
 	"container/heap"
-	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"papayaspoke/core/coordination/dispatch"
@@ -15,12 +12,12 @@
 	"papayaspoke/core/coordination/dispatch/routing"
 	"papayaspoke/core/ident"
 	"papayaspoke/core/option"
-	"papayaspoke/core/result"
 )
 
 const (
-	hop      = 4 * time.Millisecond // one way between daemons
-	wire     = time.Millisecond     // one way between a daemon and a replica
+	again    = 50 * time.Millisecond // between polls of an owner with wants
+	hop      = 4 * time.Millisecond  // one way between daemons
+	wire     = time.Millisecond      // one way between a daemon and a replica
 	model    = ident.Model("base")
 	restarts = 5 * time.Second // from a crash to the new incarnation
 )
@@ -52,22 +49,6 @@
 	routing  routing.Policy
 }
 
-// call is one request of the workload.
-type call struct {
-	req     dispatch.Request
-	run     time.Duration
-	poison  bool
-	entry   *daemon
-	owner   *daemon
-	exclude []ident.Upstream
-	loaded  time.Time
-	suspect bool
-	started bool // a byte of it reached an engine
-	arrived bool // at its owner
-	ended   bool
-	how     ending
-}
-
 type item struct {
 	at  time.Time
 	seq int
@@ -100,6 +81,11 @@
 	// answered is when the holder of the budget last answered.
 	answered time.Time
 	fallback bool
+	// ask and released are for the next poll, polling is true from a poll to
+	// the next if one is due.
+	ask      budget.Ask
+	released []budget.PermitID
+	polling  bool
 }
 
 // world runs daemons, fake engines and a fake weight store in virtual time.
@@ -205,9 +191,6 @@
 			w.step(dm, dispatch.BudgetLost{Share: budget.ShareOf(dm.name, w.names(), w.size.limits)})
 		}
 	}
-	if w.holder != nil {
-		w.send(w.holder.Tick(w.now))
-	}
 }
 
 func (w *world) names() []ident.Daemon {
@@ -275,13 +258,11 @@
 	case dispatch.Fail:
 		w.failed(dm, ef)
 	case dispatch.AskPermits:
-		w.after(hop, func() { w.ask(dm, ef.Ask) })
+		dm.ask = ef.Ask
+		w.pollNow(dm)
 	case dispatch.ReleasePermit:
-		w.after(hop, func() {
-			if w.holder != nil {
-				w.send(w.holder.Done(w.now, ef.Permit))
-			}
-		})
+		dm.released = append(dm.released, ef.Permit)
+		w.pollNow(dm)
 	case dispatch.Quarantine:
 		w.after(hop, func() {
 			for _, to := range w.daemons {
@@ -295,116 +276,56 @@
 	}
 }
 
-func (w *world) ask(dm *daemon, a budget.Ask) {
-	if w.holder == nil {
-		return
-	}
-	w.after(hop, func() {
-		dm.answered = w.now
-		if dm.fallback {
-			dm.fallback = false
-			w.step(dm, dispatch.BudgetFound{})
-		}
-	})
-	w.send(w.holder.Ask(w.now, a))
-	admit := w.holder.Admit(w.now)
-	w.after(hop, func() { w.step(dm, dispatch.Admitted{Share: admit}) })
-}
-
-func (w *world) send(ps []budget.Permit) {
-	for _, p := range ps {
-		i := slices.IndexFunc(w.daemons, func(dm *daemon) bool { return dm.name == p.Owner })
-		w.after(hop, func() { w.step(w.daemons[i], dispatch.Granted{Permits: []budget.Permit{p}}) })
+func (w *world) pollNow(dm *daemon) {
+	if !dm.polling {
+		w.poll(dm)
 	}
 }
 
-func (w *world) engine(name ident.Upstream) *engine {
-	i := slices.IndexFunc(w.engines, func(e *engine) bool { return e.name == name })
-	return w.engines[i]
-}
-
-// arrive lets a call reach a random daemon, which routes it.
-func (w *world) arrive(c *call) {
-	w.calls[c.req.ID] = c
-	c.entry = w.daemons[w.rng.IntN(len(w.daemons))]
-	for c.entry.lost {
-		c.entry = w.daemons[w.rng.IntN(len(w.daemons))]
-	}
-	w.route(c)
-}
-
-func (w *world) route(c *call) {
-	if c.ended || c.entry.lost {
-		return
-	}
-	q := routing.Query{Model: model, Adapter: c.req.Adapter, DataCentre: c.entry.centre, Exclude: c.exclude, Digest: c.req.Digest}
-	q.Suspect = c.suspect || c.entry.d.Verdict(w.now, c.req.Digest) == quarantine.Suspect
-	choice, ok := c.entry.dir.Route(q)
-	if !ok {
-		w.stats.cause(c, "no route")
-		w.end(c, refusedEnd)
-		return
-	}
-	c.entry.dir.Sent(choice.Upstream, c.req.Adapter)
-	c.req.Upstream = choice.Upstream
-	c.owner, c.arrived = w.engine(choice.Upstream).owner, false
+// poll asks the holder and asks again as long as there are wants.
+func (w *world) poll(dm *daemon) {
+	dm.polling = true
+	sent, ask, released := w.now, dm.ask, dm.released
+	dm.released = nil
 	w.after(hop, func() {
-		if c.owner.lost {
-			w.after(2*time.Second, func() { w.reroute(c) })
+		if w.holder == nil {
+			w.after(again, func() { w.poll(dm) })
 			return
 		}
-		c.arrived = true
-		w.step(c.owner, dispatch.Arrived{Request: c.req})
+		for _, id := range released {
+			w.holder.Release(id)
+		}
+		ps := w.holder.Poll(w.now, ask)
+		admit := w.holder.Admit(w.now)
+		w.after(hop, func() { w.polled(dm, sent, ps, admit) })
 	})
 }
 
-func (w *world) reroute(c *call) {
-	c.exclude = append(c.exclude, c.req.Upstream)
-	c.arrived = false
-	w.after(hop, func() { w.route(c) })
-}
-
-func (w *world) refused(dm *daemon, ef dispatch.Refuse) {
-	c := w.calls[ef.Request]
-	if c.started {
-		w.fault("told not run, but it was sent: " + string(c.req.ID))
+func (w *world) polled(dm *daemon, sent time.Time, ps []budget.Permit, admit float64) {
+	dm.answered, dm.polling = w.now, false
+	if dm.fallback {
+		dm.fallback = false
+		w.step(dm, dispatch.BudgetFound{})
 	}
-	if c.entry.lost {
-		return
-	}
-	if code := ef.Err.Code(); (code == result.NoUpstream || code == result.Draining) && len(c.exclude) < 3 {
-		w.reroute(c)
-		return
+	w.step(dm, dispatch.Admitted{Share: admit})
+	for i := range ps {
+		ps[i].StartBy = sent.Add(budget.StartWithin)
 	}
-	w.stats.cause(c, cause(ef.Err))
-	c.noteWait(w, strings.Contains(ef.Err.Detail(), "did not arrive") || strings.Contains(ef.Err.Detail(), "be loaded"))
-	w.end(c, refusedEnd)
-}
-
-func (w *world) failed(_ *daemon, ef dispatch.Fail) {
-	c := w.calls[ef.Request]
-	if c.entry.lost {
-		return
+	if len(ps) > 0 {
+		w.step(dm, dispatch.Granted{Permits: ps})
 	}
-	if ef.Retry && len(c.exclude) < 3 {
-		c.req.Retried, c.suspect = true, ef.Err.Code() == result.UpstreamFailed && w.rules.dispatch.Isolates
-		w.reroute(c)
+	if len(dm.ask.Wants) == 0 && len(dm.released) == 0 || dm.polling {
 		return
 	}
-	w.stats.cause(c, cause(ef.Err))
-	w.end(c, failedEnd)
+	dm.polling = true
+	w.after(again, func() { w.poll(dm) })
 }
 
-func (w *world) end(c *call, how ending) {
-	if c.ended {
-		w.fault(fmt.Sprintf("ended twice: %s, first %v, then %v", c.req.ID, c.how, how))
-	}
-	c.ended, c.how = true, how
-	w.stats.end(w, c, how)
+func (w *world) engine(name ident.Upstream) *engine {
+	i := slices.IndexFunc(w.engines, func(e *engine) bool { return e.name == name })
+	return w.engines[i]
 }
 
-func (w *world) fault(s string) { w.faults = append(w.faults, s) }
-
 // loseCentre takes away a data centre with its daemons and replicas.
 func (w *world) loseCentre(c ident.DataCentre) {
 	for _, dm := range w.daemons {
@@ -425,31 +346,4 @@
 	w.loseCalls()
 }
 
-// loseCalls ends the calls that entered at a lost daemon; those that were
-// forwarded to one are sent anew when their entry notices.
-func (w *world) loseCalls() {
-	for _, c := range w.sortedCalls() {
-		switch {
-		case c.ended:
-		case c.entry.lost:
-			c.ended = true
-			w.stats.lost++
-		case c.arrived && c.owner.lost:
-			w.after(2*time.Second, func() {
-				c.req.Retried = true
-				w.reroute(c)
-			})
-		}
-	}
-}
-
-func (w *world) sortedCalls() []*call {
-	var out []*call
-	for _, c := range w.calls {
-		out = append(out, c)
-	}
-	slices.SortFunc(out, func(a, b *call) int { return cmp.Compare(a.req.ID, b.req.ID) })
-	return out
-}
-
 var some = option.Some[bool]
