Signs of life on the hop between daemons, and doubt after a second attempt

Cause: the owner's head came with the first piece only, so a request waiting for a load looked like a silent connection, and silence was noticed after half the deadline. A second attempt's "not run" also said nothing of the first one. The class's deadline no longer cuts a passed-on answer (the other daemon decides). Ruled out: a head for callers before the first piece, which would turn errors with a status into error events. Conclusion: a silent hop costs at most two seconds to the head, five later.

--- a/io/protocol/caller/client.go
+++ b/io/protocol/caller/client.go
@@ -1,12 +1,14 @@
 package caller
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"net/http"
 	"net/url"
 	"time"
 
+	"papayaspoke/core/ident"
 	"papayaspoke/core/result"
 	"papayaspoke/io/protocol/wire"
 	"papayaspoke/io/transport/client"
@@ -25,7 +27,33 @@
 
 // Infer asks the daemon at addr for text.
 func (c *Client) Infer(ctx context.Context, addr string, x Infer) (*Answer, error) {
-	return c.forward.Infer(ctx, addr, x)
+	path, body, err := encodeInfer(x)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	a, err := c.forward.client.Do(ctx, client.Exchange{
+		Method: http.MethodPost, URL: "http://" + addr + path, Body: body,
+		Header: c.forward.header(x, time.Now()), Idempotent: x.Key == "",
+	})
+	if err != nil {
+		cancel()
+		return nil, unreachable(err, addr)
+	}
+	end := func() {
+		cancel()
+		_ = a.Body().Close()
+	}
+	if a.Status() != http.StatusOK {
+		defer end()
+		return nil, refusal(a, result.UpstreamFailed)
+	}
+	if got := a.Header().Get(AdapterHeader); got != adapterName(x.Adapter) {
+		end()
+		return nil, result.New(result.WrongAnswer, "asked for %q, answered by %q", adapterName(x.Adapter), got)
+	}
+	r := &eventReader{lines: bufio.NewReader(a.Body()), id: a.Header().Get(RequestHeader)}
+	return NewAnswer(x.Adapter, x.Model, ident.Upstream(a.Header().Get(UpstreamHeader)), r.next, end), nil
 }
 
 // Call calls a plain service through the daemon at addr.
--- a/io/protocol/caller/events.go
+++ b/io/protocol/caller/events.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"sync"
 
 	"papayaspoke/io/protocol/wire"
 )
@@ -70,34 +71,45 @@
 	return b
 }
 
-// events writes server-sent events.
+// originBody tells a daemon who answers the request that it passed on.
+type originBody struct {
+	Adapter  string `json:"adapter,omitempty"`
+	Model    string `json:"model,omitempty"`
+	Upstream string `json:"upstream,omitempty"`
+}
+
+// events writes server-sent events. It is safe for concurrent use.
 type events struct {
-	w     http.ResponseWriter
 	x     Infer
-	a     *Answer
 	flush func()
+
+	mu sync.Mutex
+	w  http.ResponseWriter
 }
 
-func flusher(w http.ResponseWriter) func() {
+func newEvents(w http.ResponseWriter, x Infer) *events {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-store")
+	e := &events{w: w, x: x, flush: func() {}}
 	if f, ok := w.(http.Flusher); ok {
-		return f.Flush
+		e.flush = f.Flush
 	}
-	return func() {}
+	return e
 }
 
 // piece sends one piece of text and reports whether it could.
-func (e events) piece(text string) bool {
+func (e *events) piece(a *Answer, text string) bool {
 	c := choiceBody{}
 	if e.x.Prompt.IsChat() {
 		c.Delta = &deltaBody{Content: text}
 	} else {
 		c.Text = &text
 	}
-	return e.event(newBody(e.x, e.a, true, c))
+	return e.event("", newBody(e.x, a, true, c))
 }
 
 // done sends the end of a whole answer.
-func (e events) done() {
+func (e *events) done(a *Answer) {
 	c := choiceBody{FinishReason: &stopped}
 	if e.x.Prompt.IsChat() {
 		c.Delta = &deltaBody{}
@@ -105,22 +117,36 @@
 		empty := ""
 		c.Text = &empty
 	}
-	if e.event(newBody(e.x, e.a, true, c)) {
+	if e.event("", newBody(e.x, a, true, c)) {
 		e.raw("data: [DONE]\n\n")
 	}
 }
 
-// failed sends an error event. The connection must be cut after it.
-func (e events) failed(err error) {
+// failed sends an error event. No [DONE] follows it.
+func (e *events) failed(err error) {
 	e.raw("event: error\ndata: " + string(wire.EncodeError(err)) + "\n\n")
 }
 
-func (e events) event(v answerBody) bool {
+// origin sends who answers.
+func (e *events) origin(a *Answer) bool {
+	b := originBody{Model: string(a.Model()), Upstream: string(a.Upstream())}
+	if !a.Adapter().IsZero() {
+		b.Adapter = a.Adapter().String()
+	}
+	return e.event("event: origin\n", b)
+}
+
+// alive sends a comment, which readers skip.
+func (e *events) alive() bool { return e.raw(": waiting\n\n") }
+
+func (e *events) event(kind string, v any) bool {
 	b, err := json.Marshal(v)
-	return err == nil && e.raw("data: "+string(b)+"\n\n")
+	return err == nil && e.raw(kind+"data: "+string(b)+"\n\n")
 }
 
-func (e events) raw(s string) bool {
+func (e *events) raw(s string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	_, err := e.w.Write([]byte(s))
 	e.flush()
 	return err == nil
--- a/io/protocol/caller/forward.go
+++ b/io/protocol/caller/forward.go
@@ -2,11 +2,9 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -19,10 +17,11 @@
 )
 
 const (
-	// silence is how long a stream between daemons may bring nothing.
-	silence = 10 * time.Second
-	// maxEvent is the largest event in bytes.
-	maxEvent = 1 << 20
+	// silence is how long a stream between daemons may bring nothing, not
+	// even a sign of life.
+	silence = 5 * time.Second
+	// headWithin is how soon a daemon acknowledges a request.
+	headWithin = 2 * time.Second
 	// maxReply is the largest body of a plain service's answer in bytes.
 	maxReply = 16 << 20
 )
@@ -32,16 +31,33 @@
 	client *client.Client
 	self   ident.Daemon
 	token  string
+	// headBy, silentAt bound the waits of one request.
+	headBy, silentAt func(now time.Time) time.Time
 }
 
 // NewForwarder returns a forwarder for the daemon self, which presents the
 // cluster's token.
 func NewForwarder(c *client.Client, self ident.Daemon, token string) *Forwarder {
-	return &Forwarder{client: c, self: self, token: token}
+	return &Forwarder{
+		client: c, self: self, token: token,
+		headBy:   func(now time.Time) time.Time { return now.Add(headWithin) },
+		silentAt: func(now time.Time) time.Time { return now.Add(silence) },
+	}
+}
+
+// WithPatience returns a copy that waits for the acknowledgement of a request
+// until headBy and for each sign of life until silentAt, both told the time
+// from which they count.
+func (f *Forwarder) WithPatience(headBy, silentAt func(now time.Time) time.Time) *Forwarder {
+	c := *f
+	c.headBy, c.silentAt = headBy, silentAt
+	return &c
 }
 
-// Infer passes x on to the daemon at addr, its peers' address. An error whose
-// cause satisfies [client.Sent] false provably did not reach it.
+// Infer passes x on to the daemon at addr, its peers' address, and returns
+// once that has begun to answer. If the connection is silent or cut before,
+// an idempotent request goes once more over a fresh one. An error whose code
+// says "not run" holds for both attempts.
 func (f *Forwarder) Infer(ctx context.Context, addr string, x Infer) (*Answer, error) {
 	if x.Hop != "" {
 		return nil, result.New(result.OwnerUnreachable, "request was already passed on by %s", x.Hop)
@@ -50,48 +66,83 @@
 	if err != nil {
 		return nil, err
 	}
-	h := f.header(x.Meta, time.Now())
-	h.Set("Content-Type", "application/json")
-	if !x.Adapter.IsZero() {
-		h.Set(AdapterHeader, x.Adapter.String())
+	ex := client.Exchange{
+		Method: http.MethodPost, URL: "http://" + addr + path, Body: body,
+		Header: f.header(x, time.Now()), HeadBy: f.headBy(time.Now()), Idempotent: x.Key == "",
 	}
+	ex.FreshBy = f.headBy(ex.HeadBy)
+	a, again, err := f.begin(ctx, addr, x, ex)
+	if !again || x.Key != "" || ctx.Err() != nil {
+		return a, err
+	}
+	ex.Idempotent = false // over a fresh connection, and not again
+	ex.Header, ex.FreshBy = f.header(x, time.Now()), f.headBy(time.Now())
+	a, _, err = f.begin(ctx, addr, x, ex)
+	if err != nil {
+		return nil, wire.Doubt(result.From(err))
+	}
+	return a, nil
+}
+
+// begin sends x and waits until it is clear who answers. It returns again if
+// the request may have been received but the connection brought no decision.
+func (f *Forwarder) begin(ctx context.Context, addr string, x Infer, ex client.Exchange) (a *Answer, again bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
-	a, err := f.client.Do(ctx, client.Exchange{
-		Method: http.MethodPost, URL: "http://" + addr + path, Header: h, Body: body, Idempotent: x.Key == "",
-	})
+	answer, err := f.client.Do(ctx, ex)
 	if err != nil {
 		cancel()
-		return nil, unreachable(err, addr)
+		return nil, false, unreachable(err, addr)
 	}
-	if a.Status() != http.StatusOK {
-		defer cancel()
-		defer a.Body().Close()
-		return nil, wire.DecodeError(a.Header(), a.Body(), result.UpstreamFailed, time.Now())
+	end := func() {
+		cancel()
+		_ = answer.Body().Close()
+	}
+	if answer.Status() != http.StatusOK {
+		defer end()
+		return nil, false, refusal(answer, result.UpstreamFailed)
+	}
+	answer.LimitSilence(f.silentAt)
+	r := &eventReader{lines: bufio.NewReader(answer.Body()), id: string(x.ID)}
+	o, err := r.awaitOrigin()
+	if err == nil && o.Adapter != adapterName(x.Adapter) {
+		err = result.New(result.WrongAnswer, "asked for %q, answered by %q", adapterName(x.Adapter), o.Adapter)
+	}
+	if err == nil {
+		return NewAnswer(x.Adapter, ident.Model(o.Model), ident.Upstream(o.Upstream), r.next, end), false, nil
 	}
-	return f.answer(x, a, cancel)
+	end()
+	if answer.Repeated() {
+		err = wire.Doubt(result.From(err))
+	}
+	return nil, result.CodeOf(err) == result.StreamCut, err
 }
 
-func (f *Forwarder) answer(x Infer, a *client.Answer, cancel func()) (*Answer, error) {
-	end := func() {
-		cancel()
-		_ = a.Body().Close()
+func adapterName(a ident.Adapter) string {
+	if a.IsZero() {
+		return ""
 	}
-	if got := a.Header().Get(AdapterHeader); !x.Adapter.IsZero() && got != x.Adapter.String() {
-		end()
-		return nil, result.New(result.WrongAnswer, "asked for %s, answered by %q", x.Adapter, got)
+	return a.String()
+}
+
+// refusal reads the error of an answer whose status is not 200.
+func refusal(a *client.Answer, fallback result.Code) *result.Error {
+	e := wire.DecodeError(a.Header(), a.Body(), fallback, time.Now())
+	if a.Repeated() {
+		return wire.Doubt(e)
 	}
-	id := a.Header().Get(RequestHeader)
-	if f.self != "" && id != string(x.ID) {
-		end()
-		return nil, result.New(result.WrongAnswer, "asked with request %s, answered to %q", x.ID, id)
+	return e
+}
+
+func (f *Forwarder) header(x Infer, now time.Time) http.Header {
+	h := f.metaHeader(x.Meta, now)
+	h.Set("Content-Type", "application/json")
+	if !x.Adapter.IsZero() {
+		h.Set(AdapterHeader, x.Adapter.String())
 	}
-	a.LimitSilence(func(now time.Time) time.Time { return now.Add(silence) })
-	r := &eventReader{lines: bufio.NewReaderSize(io.LimitReader(a.Body(), 1<<30), 4096), id: id}
-	up := ident.Upstream(a.Header().Get(UpstreamHeader))
-	return NewAnswer(x.Adapter, x.Model, up, r.next, end), nil
+	return h
 }
 
-func (f *Forwarder) header(m Meta, now time.Time) http.Header {
+func (f *Forwarder) metaHeader(m Meta, now time.Time) http.Header {
 	h := http.Header{}
 	set := func(name, value string) {
 		if value != "" {
@@ -121,7 +172,7 @@
 	if h == nil {
 		h = http.Header{}
 	}
-	for name, values := range f.header(x.Meta, time.Now()) {
+	for name, values := range f.metaHeader(x.Meta, time.Now()) {
 		h[name] = values
 	}
 	a, err := f.client.Do(ctx, client.Exchange{
@@ -133,7 +184,7 @@
 	}
 	defer a.Body().Close()
 	if a.Header().Get(wire.ResultHeader) != "" {
-		return nil, wire.DecodeError(a.Header(), a.Body(), result.Unknown, time.Now())
+		return nil, refusal(a, result.Unknown)
 	}
 	return readReply(a)
 }
@@ -147,11 +198,11 @@
 	if err != nil {
 		return nil, result.New(result.Unknown, "answer of the service: %w", err)
 	}
-	up := ident.Upstream(a.Header().Get(UpstreamHeader))
 	status := a.Status()
 	if n, err := strconv.Atoi(a.Header().Get(server.StatusHeader)); err == nil && n/100 == status/100 {
 		status = n
 	}
+	up := ident.Upstream(a.Header().Get(UpstreamHeader))
 	return &Reply{Status: status, Header: passedOn(a.Header()), Body: b, Upstream: up}, nil
 }
 
@@ -181,67 +232,3 @@
 	b, err := json.Marshal(body)
 	return path, b, err
 }
-
-// eventReader reads the events of one streamed answer.
-type eventReader struct {
-	lines *bufio.Reader
-	id    string
-	// failed is true after the line that announces an error.
-	failed bool
-	// end is the final error once there is one.
-	end error
-}
-
-// next returns the next piece of text, [io.EOF] only after [DONE].
-func (r *eventReader) next() (string, error) {
-	for r.end == nil {
-		line, err := wire.ReadLine(r.lines, maxEvent)
-		if err != nil {
-			r.end = result.New(result.StreamCut, "stream ended before [DONE]: %w", err)
-			break
-		}
-		if text := r.line(line); text != "" {
-			return text, nil
-		}
-	}
-	return "", r.end
-}
-
-func (r *eventReader) line(line []byte) string {
-	if bytes.Equal(line, []byte("event: error")) {
-		r.failed = true
-		return ""
-	}
-	data, ok := bytes.CutPrefix(line, []byte("data: "))
-	switch {
-	case !ok:
-		return ""
-	case r.failed:
-		r.end = wire.DecodeErrorBody(data, result.StreamCut)
-		return ""
-	case bytes.Equal(data, []byte("[DONE]")):
-		r.end = io.EOF
-		return ""
-	}
-	return r.event(data)
-}
-
-func (r *eventReader) event(data []byte) string {
-	var b answerBody
-	if err := json.Unmarshal(data, &b); err != nil || len(b.Choices) != 1 {
-		r.end = result.New(result.WrongAnswer, "event is malformed: %.100q", data)
-		return ""
-	}
-	if b.ID != r.id {
-		r.end = result.New(result.WrongAnswer, "event belongs to request %q, not %q", b.ID, r.id)
-		return ""
-	}
-	c := b.Choices[0]
-	if c.Text != nil {
-		return *c.Text
-	}
-	if c.Delta != nil {
-		return c.Delta.Content
-	}
-	return ""
-}
--- a/io/protocol/caller/handler.go
+++ b/io/protocol/caller/handler.go
@@ -30,6 +30,9 @@
 	Now func() time.Time
 	// NewID makes request ids; nil draws them at random.
 	NewID func() ident.Request
+	// AliveAt returns when a daemon that waits gets the next sign of life; nil
+	// means every one and a half seconds.
+	AliveAt func(now time.Time) time.Time
 	// Peer is true on the listener for other daemons, whose headers are
 	// trusted. It must be false where callers can connect.
 	Peer bool
@@ -109,6 +112,10 @@
 	if err != nil {
 		return err
 	}
+	if h.Peer {
+		h.relay(r.Context(), w, x)
+		return nil
+	}
 	ctx, cancel := withDeadline(r.Context(), x.Deadline)
 	defer cancel()
 	a, err := h.Infer(ctx, x)
@@ -157,20 +164,17 @@
 	if err != nil && err != io.EOF {
 		return err
 	}
-	hd := w.Header()
-	hd.Set("Content-Type", "text/event-stream")
-	hd.Set("Cache-Control", "no-store")
-	setOrigin(hd, a)
-	e := events{w: w, x: x, a: a, flush: flusher(w)}
+	setOrigin(w.Header(), a)
+	e := newEvents(w, x)
 	for err == nil {
-		if !e.piece(piece) {
+		if !e.piece(a, piece) {
 			server.Cut(w)
 			return nil
 		}
 		piece, err = a.Next()
 	}
 	if err == io.EOF {
-		e.done()
+		e.done(a)
 		return nil
 	}
 	e.failed(numbered(err))
--- a/io/protocol/upstream/client.go
+++ b/io/protocol/upstream/client.go
@@ -150,18 +150,30 @@
 	a, err := c.http.Do(ctx, client.Exchange{
 		Method: http.MethodPost, URL: "http://" + addr + path, Body: b,
 		Header: http.Header{"Content-Type": {"application/json"}},
-		HeadBy: headBy, Idempotent: idempotent,
+		HeadBy: headBy, FreshBy: c.freshBy(headBy), Idempotent: idempotent,
 	})
 	if err != nil {
 		return nil, failed(ctx, err)
 	}
 	if a.Status() != http.StatusOK {
 		defer a.Body().Close()
-		return nil, wire.DecodeError(a.Header(), a.Body(), result.UpstreamFailed, time.Now())
+		e := wire.DecodeError(a.Header(), a.Body(), result.UpstreamFailed, time.Now())
+		if a.Repeated() {
+			e = wire.Doubt(e)
+		}
+		return nil, e
 	}
 	return a, nil
 }
 
+// freshBy gives a second connection as long as the first one had.
+func (c *Client) freshBy(headBy time.Time) time.Time {
+	if headBy.IsZero() {
+		return headBy
+	}
+	return c.headBy(headBy)
+}
+
 // failed gives a transport failure its result code.
 func failed(ctx context.Context, err error) error {
 	switch {
--- a/io/protocol/upstream/stream.go
+++ b/io/protocol/upstream/stream.go
@@ -149,7 +149,7 @@
 	a, err := s.client.post(s.ctx, s.addr, "/resume", resumeBody{
 		Request: string(s.ask.Request), Adapter: encodeAdapter(s.ask.Adapter), Fence: uint64(s.ask.Fence),
 		Incarnation: uint64(s.ask.Incarnation), Offset: s.offset,
-	}, time.Time{}, false)
+	}, s.client.headBy(time.Now()), false)
 	if err != nil {
 		s.end = result.New(result.StreamCut, "resume: %w", err)
 		return
--- a/io/protocol/wire/wire.go
+++ b/io/protocol/wire/wire.go
@@ -84,6 +84,15 @@
 	return e
 }
 
+// Doubt takes back the promise that a request did not run, for a request of
+// which an earlier attempt may have run.
+func Doubt(err *result.Error) *result.Error {
+	if !result.Lookup(err.Code()).NotRun {
+		return err
+	}
+	return result.New(result.UpstreamFailed, "an earlier attempt may have run: %w", err)
+}
+
 // DecodeErrorBody reads an error that stands inside a stream.
 func DecodeErrorBody(b []byte, fallback result.Code) *result.Error {
 	var v errorBody
--- a/io/transport/client/client.go
+++ b/io/transport/client/client.go
@@ -89,6 +89,9 @@
 	// HeadBy is when the head of the answer must have arrived over a pooled
 	// connection. Zero means half-way to the deadline of the context.
 	HeadBy time.Time
+	// FreshBy is when the head of the answer must have arrived over a new
+	// connection. Zero means that only the context limits it.
+	FreshBy time.Time
 	// Idempotent allows the exchange to be sent again over a fresh connection.
 	Idempotent bool
 }
@@ -131,6 +134,8 @@
 	status int
 	header http.Header
 	body   *body
+	// repeated is true if the exchange may have been received twice.
+	repeated bool
 }
 
 // Status returns the HTTP status.
@@ -139,6 +144,11 @@
 // Header returns the headers.
 func (a *Answer) Header() http.Header { return a.header }
 
+// Repeated reports whether the exchange may have been received before, over a
+// connection that brought no answer. What this answer says of the second
+// attempt need not hold for the first.
+func (a *Answer) Repeated() bool { return a.repeated }
+
 // Body returns the body; reads end with an error, never with [io.EOF], if the
 // answer was cut.
 func (a *Answer) Body() io.ReadCloser { return a.body }
@@ -165,7 +175,7 @@
 // Do makes one exchange. The error is a [*Failure].
 func (c *Client) Do(ctx context.Context, x Exchange) (*Answer, error) {
 	if !x.Idempotent {
-		a, f := c.try(ctx, c.fresh, x, time.Time{})
+		a, f := c.try(ctx, c.fresh, x, x.FreshBy)
 		return a, f.orNil()
 	}
 	headBy := x.HeadBy
@@ -176,11 +186,13 @@
 	if first == nil || first.fresh || ctx.Err() != nil {
 		return a, first.orNil()
 	}
-	a, second := c.try(ctx, c.fresh, x, time.Time{})
+	a, second := c.try(ctx, c.fresh, x, x.FreshBy)
 	if second != nil {
 		second.sent = second.sent || first.sent
+		return nil, second
 	}
-	return a, second.orNil()
+	a.repeated = first.sent
+	return a, nil
 }
 
 // orNil avoids an error that holds a nil pointer.
@@ -191,8 +203,8 @@
 	return f
 }
 
-// try sends x once. If headBy is set and a reused connection brings no head
-// by then, the connection is closed.
+// try sends x once. If a reused connection brings no head by headBy, or a new
+// one by the time that the exchange sets for it, the connection is closed.
 func (c *Client) try(ctx context.Context, via *http.Transport, x Exchange, headBy time.Time) (*Answer, *Failure) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	var got, reused atomic.Bool
@@ -200,8 +212,12 @@
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		got.Store(true)
 		reused.Store(info.Reused)
-		if info.Reused && !headBy.IsZero() {
-			watch.arm(headBy)
+		by := x.FreshBy
+		if info.Reused {
+			by = headBy
+		}
+		if !by.IsZero() {
+			watch.arm(by)
 		}
 	}}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), x.Method, x.URL, nil)
