--- a/core/coordination/consensus/replicate.go
+++ b/core/coordination/consensus/replicate.go
@@ -233,7 +233,6 @@
 	if t, _ := n.log.term(i); t != n.hard.Term {
 		return
 	}
-	n.step.announce = true
 	n.commitTo(i)
 	n.startReads()
 }
@@ -283,6 +282,7 @@
 	}
 	n.resetElection(now)
 	n.leaseUntil = now.Add(ElectionTimeout)
+	n.orphanAt = now.Add(goneAfter)
 }
 
 func (n *Node) onHeartbeat(now time.Time, m Message) {
--- a/core/coordination/dispatch/routing/homes.go
+++ b/core/coordination/dispatch/routing/homes.go
@@ -14,7 +14,7 @@
 	// each replica is home to several buckets.
 	buckets = 1 << 14
 	// homes is the number of homes that are kept for a bucket, best first.
-	homes = 4
+	homes = 16
 )
 
 // pool holds the replicas of one model and the homes of its adapters.
@@ -73,8 +73,9 @@
 
 // of returns the homes of an adapter, best first. The caller must not change
 // the slice.
-func (p *pool) of(a ident.Adapter) []*entry {
-	bucket := bucketOf(a)
+func (p *pool) of(a ident.Adapter) []*entry { return p.ofBucket(bucketOf(a)) }
+
+func (p *pool) ofBucket(bucket uint32) []*entry {
 	if hs, ok := p.homes[bucket]; ok {
 		return hs
 	}
--- a/core/result/table.go
+++ b/core/result/table.go
@@ -32,6 +32,7 @@
 	{Restarted, "restarted", "upstream has another incarnation", "Retry after the time given.", 503, true, true},
 	{NotResident, "notresident", "adapter is not resident", "Retry after the time given.", 503, true, true},
 	{Pinned, "pinned", "adapter is in use and stays", "Retry after the time given.", 503, true, true},
+	{Superseded, "superseded", "another copy with this key was told not run", "Send it again with the same key if the work is still wanted.", 503, true, true},
 
 	{Unknown, "unknown", "outcome is unknown", "Do not assume either; look at the service's own record.", 502, false, false},
 	{StillRunning, "running", "same key is still running", "Ask again with the same key.", 409, false, true},
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -7,7 +7,7 @@
 )
 
 // Command is one of the types that [State.Apply] takes: Change, Assign,
-// Revoke, Yield, Release, Begin, Finish, Abandon, MarkUnknown, Orphan, Expire,
+// Revoke, Yield, Release, Begin, Finish, Abandon, MarkUnknown, FormWitnesses, Orphan, Expire,
 // Quarantine or Batch.
 type Command interface {
 	apply(s *State) Outcome
@@ -84,6 +84,9 @@
 	// Attempt is the same in every resend of this command and differs from
 	// that of any other Begin.
 	Attempt ident.Attempt
+	// Seen is the log index of the daemon's view when the request arrived. A
+	// copy that arrived before another was told not run does not run.
+	Seen uint64
 	// At is the wall time of the first proposal.
 	At time.Time
 	// Deadline is the wall time after which the request is not sent.
@@ -115,6 +118,14 @@
 	Attempt ident.Attempt
 }
 
+// FormWitnesses makes the first set of witnesses. It is refused once there is
+// one. A set that grew from a single daemon could lose its majority with the
+// first VM that fails.
+type FormWitnesses struct {
+	// Names are from 1 to [MaxWitnesses] daemons, each once.
+	Names []ident.Daemon
+}
+
 // Orphan makes the running attempts of one run of a daemon unknown.
 type Orphan struct {
 	Owner       ident.Daemon
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -1,7 +1,6 @@
 package state
 
 import (
-	"slices"
 	"time"
 
 	"papayaspoke/core/ident"
@@ -40,12 +39,15 @@
 	Drained        []Drained
 	Witnesses      []Witness
 	WitnessVersion uint64
-	Owners         []Ownership
-	Records        []Record
-	Sequence       uint64
-	Entries        []*Entry
-	Expired        time.Time
-	Quarantined    []Quarantined
+	// Former and WitnessIndex are as of [View.WitnessChange].
+	Former       []ident.Daemon
+	WitnessIndex uint64
+	Owners       []Ownership
+	Records      []Record
+	Sequence     uint64
+	Entries      []*Entry
+	Expired      time.Time
+	Quarantined  []Quarantined
 }
 
 // Export returns the whole state. It may be called on a View while the state
@@ -59,6 +61,8 @@
 		Adapters:       v.adapters.Values(),
 		Store:          v.store,
 		WitnessVersion: v.witnessVersion,
+		Former:         keys(v.former),
+		WitnessIndex:   v.witnessIndex,
 		Owners:         v.owners.Values(),
 		Records:        v.changes.Values(),
 		Sequence:       v.sequence,
@@ -84,6 +88,7 @@
 	v := &st.v
 	v.index, v.version = s.Index, s.Version
 	v.store, v.witnessVersion = s.Store, s.WitnessVersion
+	v.witnessIndex = s.WitnessIndex
 	v.sequence, v.expired = s.Sequence, s.Expired
 	v.loadCatalogue(s)
 	v.loadControl(s)
@@ -115,6 +120,9 @@
 	for _, d := range s.Drained {
 		v.drained = v.drained.Put(d.Name, d.Version)
 	}
+	for _, name := range s.Former {
+		v.former = v.former.Put(name, 0)
+	}
 	for _, w := range s.Witnesses {
 		v.witnesses = v.witnesses.Put(w.Name, w.Version)
 	}
@@ -229,11 +237,11 @@
 }
 
 func (v *View) checkEntry(k EntryKey, e *Entry) *result.Error {
-	if e.Key != k || e.Phase < Running || e.Phase > Abandoned || e.Attempt == "" {
+	if e.Key != k || e.Phase < Running || e.Phase > Abandoned || e.Attempt == "" || e.Barred > v.index {
 		return damaged("ledger entry %q is invalid", k.Key)
 	}
-	if e.Phase == Abandoned && !slices.Contains(e.Lost, e.Attempt) {
-		return damaged("ledger entry %q is abandoned by nobody", k.Key)
+	if e.Phase == Abandoned && e.Barred == 0 {
+		return damaged("ledger entry %q is abandoned, but bars nobody", k.Key)
 	}
 	if !e.Deadline.After(v.expired) {
 		return damaged("ledger entry %q has expired", k.Key)
--- a/io/daemon/owner.go
+++ b/io/daemon/owner.go
@@ -7,7 +7,6 @@
 	"papayaspoke/core/coordination/membership"
 	"papayaspoke/core/coordination/ownership"
 	"papayaspoke/core/ident"
-	"papayaspoke/core/result"
 	"papayaspoke/core/state"
 	"papayaspoke/io/protocol/upstream"
 )
@@ -85,18 +84,9 @@
 	return out
 }
 
-func (c *control) upstream(name ident.Upstream) (membership.Upstream, bool) {
-	for _, u := range c.members.Upstreams() {
-		if u.Name == name {
-			return u, true
-		}
-	}
-	return membership.Upstream{}, false
-}
-
 // acquired begins the ownership of a replica.
 func (c *control) acquired(now time.Time, o state.Ownership) {
-	u, ok := c.upstream(o.Upstream)
+	u, ok := c.members.Upstream(o.Upstream)
 	if !ok {
 		return
 	}
@@ -197,6 +187,11 @@
 		return
 	}
 	set, version := c.view.Witnesses()
+	if len(set) == 0 {
+		c.witnessAt = now.Add(witnessInterval)
+		c.formWitnesses()
+		return
+	}
 	if len(set) >= state.MaxWitnesses {
 		return
 	}
@@ -213,6 +208,16 @@
 	}
 }
 
+// formWitnesses makes the voters the first witnesses, all at once: they were
+// all up when the cluster was born.
+func (c *control) formWitnesses() {
+	var names []ident.Daemon
+	for _, v := range c.voter.node.Members().Voters() {
+		names = append(names, v.Daemon)
+	}
+	c.orders.commit(state.FormWitnesses{Names: names})
+}
+
 // witnessInterval separates additions to the witnesses.
 const witnessInterval = 200 * time.Millisecond
 
