--- a/cmd/engine/main.go
+++ b/cmd/engine/main.go
@@ -25,7 +25,7 @@
 	name, model, centre := "engine", "base", "local"
 	slots, batch, tokens := 4, 8, 16
 	token, load, lag, grace := 10*time.Millisecond, 250*time.Millisecond, time.Duration(0), 30*time.Second
-	crash, failures, seed := "", 0.0, uint64(1)
+	crash, failures, seed, incarnation := "", 0.0, uint64(1), uint64(0)
 	ignoreFence, noResume := false, false
 
 	flaggy.SetName("engine")
@@ -46,6 +46,7 @@
 	flaggy.String(&crash, "", "crash", "word in a prompt that crashes the engine")
 	flaggy.Float64(&failures, "", "fail", "share of loads that fail")
 	flaggy.UInt64(&seed, "", "seed", "seed of the failures")
+	flaggy.UInt64(&incarnation, "", "incarnation", "number of this run of the process; drawn from the clock if zero")
 	flaggy.Bool(&ignoreFence, "", "ignore-fence", "carry out orders with an old fencing number")
 	flaggy.Bool(&noResume, "", "no-resume", "do not resume streams")
 	flaggy.Parse()
@@ -57,6 +58,7 @@
 		LoadFailures: failures, Seed: seed, Log: log,
 	}
 	opts.Self.Name, opts.Self.Model = ident.Upstream(name), ident.Model(model)
+	opts.Self.Incarnation = ident.Incarnation(incarnation)
 	opts.Self.DataCentre = ident.DataCentre(centre)
 	opts.Self.Slots, opts.Self.MaxBatch = slots, batch
 	opts.Self.HonoursFence, opts.Self.Resumes = !ignoreFence, !noResume
