A proposal that could not be dialled was not sent

Cause: with two of three voters dead a booking was told 'unconfirmed' because a refused connection counted as a lost answer. Change: a failed dial counts as not sent.

--- a/io/daemon/peers.go
+++ b/io/daemon/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"time"
 
 	"papayaspoke/core/coordination/consensus"
@@ -153,7 +155,7 @@
 	defer cancel()
 	r, err := p.client.Propose(ctx, addr, data)
 	if err != nil {
-		return answer{code: result.Unknown}
+		return answer{code: lostOrNotSent(err)}
 	}
 	a := answer{index: r.Index, code: r.Code, leader: r.Leader}
 	if r.Code == result.OK || r.Code == result.Pending {
@@ -164,6 +166,16 @@
 	return a
 }
 
+// lostOrNotSent tells a proposal that reached nobody from one whose answer is
+// lost.
+func lostOrNotSent(err error) result.Code {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return result.NoLeader
+	}
+	return result.Unknown
+}
+
 // proposed serves a command that another daemon proposes here.
 func (d *Daemon) proposed(ctx context.Context, data []byte) peer.Proposed {
 	cmd, err := peer.DecodeCommand(data)
