A daemon whose port is taken says so and ends; test ports below the ephemeral range

Cause: TestDiskQuorumLost and TestOneKeySentEverywhere failed now and then with one daemon's log empty. Ruled out: the control loop, and a lost probe. Change: the listener is made before the engine; ports of the test cluster are taken below 32768. TestListenOnUsedAddressFails holds the first.

--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -101,10 +100,9 @@
 
 func free(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := cluster.FreeAddress()
 	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	return addr
 }
 
 // eventually waits until the condition holds.
--- a/e2e/traffic_test.go
+++ b/e2e/traffic_test.go
@@ -34,13 +34,15 @@
 	assert.Equal(t, w.runs()["k1"], 1)
 }
 
-// booked sends a booking until the service has answered it.
+// booked sends a booking through every daemon until each has answered it.
 func (w *world) booked(key string) {
 	w.t.Helper()
-	w.eventually("booked "+key, func() bool {
-		r, err := w.Book(w.ctx, w.Names()[0], "booking", key, "{}")
-		return err == nil && r.Status == http.StatusOK
-	})
+	for _, n := range w.Names() {
+		w.eventually("booked "+key+" at "+n, func() bool {
+			r, err := w.Book(w.ctx, n, "booking", key, "{}")
+			return err == nil && r.Status == http.StatusOK
+		})
+	}
 }
 
 func (w *world) runs() map[string]int {
--- a/io/standin/cluster/cluster.go
+++ b/io/standin/cluster/cluster.go
@@ -7,7 +7,9 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"papayaspoke/io/protocol/operator"
@@ -88,16 +90,48 @@
 	return nil
 }
 
+const (
+	// firstPort and lastPort lie below the range that kernels take the ports
+	// of outgoing connections from, so that no port is lost to one between
+	// its choice here and the start of the program that listens on it.
+	firstPort = 2000
+	lastPort  = 14000
+)
+
+// nextPort is the next port to try, for all clusters of this process.
+var nextPort atomic.Int64
+
+// freeListener listens on a port that nobody listens on now.
+func freeListener(host string) (net.Listener, error) {
+	nextPort.CompareAndSwap(0, int64(os.Getpid())*portStride)
+	var last error
+	for range lastPort - firstPort {
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		l, err := net.Listen("tcp", net.JoinHostPort(host, strconv.FormatInt(port, 10)))
+		if err == nil {
+			return l, nil
+		}
+		last = err
+	}
+	return nil, fmt.Errorf("find a port: %w", last)
+}
+
+// portStride keeps apart the ports of processes that run at the same time.
+const portStride = 97
+
 // freeAddress returns an address whose port nobody listens on now.
 func freeAddress(host string) (string, error) {
-	l, err := net.Listen("tcp", host+":0")
+	l, err := freeListener(host)
 	if err != nil {
-		return "", fmt.Errorf("find a port: %w", err)
+		return "", err
 	}
 	defer l.Close()
 	return l.Addr().String(), nil
 }
 
+// FreeAddress returns a loopback address whose port nobody listens on now.
+func FreeAddress() (string, error) { return freeAddress("127.0.0.1") }
+
 const settingsText = `name = %q
 centre = %q
 %s
--- a/io/standin/cluster/relay.go
+++ b/io/standin/cluster/relay.go
@@ -17,7 +17,7 @@
 }
 
 func newRelay(target string) (*relay, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := freeListener("127.0.0.1")
 	if err != nil {
 		return nil, err
 	}
--- a/io/transport/server/server.go
+++ b/io/transport/server/server.go
@@ -75,6 +75,11 @@
 // Listen starts to serve h on addr, which is an IP number and a port.
 func Listen(addr string, h http.Handler, opts Options) (*Server, error) {
 	s := &Server{handler: h, opts: opts.withDefaults()}
+	// The engine never returns from a start that fails to listen, so the
+	// listener is made first.
+	if err := s.bind(addr); err != nil {
+		return nil, result.New(result.SettingsInvalid, "listen on %s: %w", addr, err)
+	}
 	logging.SetLogger(quiet{})
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:               addr,
@@ -87,7 +92,7 @@
 		Handler:            http.HandlerFunc(s.serve),
 		ServerExecutor:     func(f func()) { go f() },
 		SupportServerOnly:  true,
-		Listen:             s.listen,
+		Listen:             func(string, string) (net.Listener, error) { return s.listener, nil },
 	})
 	s.engine.OnOpen(s.opened)
 	s.engine.OnClose(s.closed)
@@ -199,14 +204,14 @@
 	stopped chan struct{}
 }
 
-func (s *Server) listen(network, addr string) (net.Listener, error) {
+func (s *Server) bind(addr string) error {
 	conf := net.ListenConfig{Control: setUserTimeout, KeepAliveConfig: probes}
-	l, err := conf.Listen(context.Background(), network, addr)
+	l, err := conf.Listen(context.Background(), "tcp", addr)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	s.listener = &listener{Listener: l, stopped: make(chan struct{})}
-	return s.listener, nil
+	return nil
 }
 
 func (l *listener) Accept() (net.Conn, error) {
--- a/io/transport/server/server_test.go
+++ b/io/transport/server/server_test.go
@@ -258,3 +258,9 @@
 		assert.Equal(t, string(b), want)
 	}
 }
+
+func TestListenOnUsedAddressFails(t *testing.T) {
+	s := listen(t, server.Options{}, func(http.ResponseWriter, *http.Request) {})
+	_, err := server.Listen(s.Addr(), http.NotFoundHandler(), server.Options{})
+	assert.ErrorContains(t, err, "address already in use")
+}
