--- a/core/coordination/witness/round.go
+++ b/core/coordination/witness/round.go
@@ -50,11 +50,11 @@
 	}
 }
 
-// needsRead reports whether standing would be of use: not at a daemon that is
-// no witness, as far as the witnesses are known.
+// needsRead reports whether a read would help this daemon to stand, and
+// standing be of use: not if it is no witness, as far as these are known.
 func (w *Witness) needsRead() bool {
 	members := w.witnesses.members(w.visible)
-	return !w.standing && (len(members) == 0 || slices.Contains(members, w.self))
+	return !w.standing && !w.readDone && (len(members) == 0 || slices.Contains(members, w.self))
 }
 
 // poll opens a round.
--- a/core/coordination/witness/witness.go
+++ b/core/coordination/witness/witness.go
@@ -152,7 +152,10 @@
 		w.handed = max(w.handed, w.applied)
 		w.witnesses = ev.Witnesses
 	case LinearizableRead:
-		w.readIndex, w.readDone = max(w.readIndex, ev.Index), true
+		// The first read will do; a later one would only raise the floor.
+		if !w.readDone {
+			w.readIndex, w.readDone = ev.Index, true
+		}
 	case Leading:
 		w.leading = ev.On
 	case Peers:
--- a/io/daemon/witness.go
+++ b/io/daemon/witness.go
@@ -31,6 +31,8 @@
 			c.log.Info("stands as a witness", "index", c.witness.Applied())
 		case witness.ReadWanted:
 			c.wantRead(now)
+		case witness.NoopWanted:
+			c.send.read()
 		case witness.Superseded:
 			c.log.Info("superseded by a later process of the same name", "incarnation", uint64(e.By))
 			c.supersede()
