Tests for guards that no test had seen fail

Cause: with some guards taken out the tests still passed. Change: tests of a call that may not be repeated while the pooled connection is silent, of compression, of the bound for a new connection's head, of errors that wrap io.EOF, of events of another request, and of a refusal after a lost answer.

--- a/io/protocol/caller/forward_test.go
+++ b/io/protocol/caller/forward_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,6 +16,7 @@
 	"papayaspoke/io/protocol/caller"
 	"papayaspoke/io/transport/client"
 	"papayaspoke/io/transport/relay"
+	"papayaspoke/io/transport/server"
 )
 
 func after(d time.Duration) func(time.Time) time.Time {
@@ -54,6 +58,42 @@
 	}
 }
 
+func TestOnlyTheOwnWholeEventsAreTaken(t *testing.T) {
+	origin := "event: origin\ndata: {\"adapter\":\"letters@3\"}\n\n"
+	piece := "data: {\"id\":\"r1\",\"choices\":[{\"text\":\"a\"}]}\n\n"
+	done := "data: [DONE]\n\n"
+	other := strings.Replace(piece, "r1", "r2", 1)
+	cases := map[string]struct {
+		events string
+		want   result.Code
+	}{
+		"whole":           {origin + piece + done, result.OK},
+		"with comments":   {": waiting\n\n" + origin + ": waiting\n\n" + piece + done, result.OK},
+		"other request":   {origin + other + done, result.WrongAnswer},
+		"other adapter":   {strings.Replace(origin, "3", "4", 1) + piece + done, result.WrongAnswer},
+		"no origin":       {piece + done, result.WrongAnswer},
+		"origin repeated": {origin + origin + piece + done, result.WrongAnswer},
+		"not JSON":        {origin + "data: {\n\n" + done, result.WrongAnswer},
+		"no end":          {origin + piece, result.StreamCut},
+		"half an end":     {origin + piece + "data: [DONE]", result.StreamCut},
+		"strange error":   {origin + "event: error\ndata: {}\n\n", result.UpstreamFailed},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, tc.events) })
+			s, err := server.Listen("127.0.0.1:0", h, server.Options{})
+			assert.NilError(t, err)
+			defer s.Close()
+			a, err := caller.NewForwarder(client.New(), "d1", "secret").Infer(t.Context(), s.Addr(), forwarded())
+			if err == nil {
+				_, err = readAnswer(a)
+				a.Close()
+			}
+			assert.Equal(t, result.CodeOf(err), tc.want, "%v", err)
+		})
+	}
+}
+
 func TestSilentHopIsReplaced(t *testing.T) {
 	cases := map[string]struct {
 		// lateSilence lets the request through and loses the answer.
--- a/io/protocol/upstream/stream_test.go
+++ b/io/protocol/upstream/stream_test.go
@@ -194,6 +194,40 @@
 	assert.Equal(t, r.Opened(), 2)
 }
 
+func TestRefusalAfterALostAnswerPromisesNothing(t *testing.T) {
+	var r *relay.Relay
+	calls := 0
+	e := &upstream.Engine{
+		Cancel: func(context.Context, upstream.Cancel) error { return nil },
+		Generate: func(context.Context, upstream.Generate) (upstream.Run, error) {
+			if calls++; calls == 2 {
+				r.SetOpen(relay.Drop)
+			}
+			if calls == 3 {
+				return nil, result.New(result.NotResident, "gone")
+			}
+			return func(_ context.Context, emit func(upstream.Line) error) error {
+				return emit(line(0, func(l *upstream.Line) { l.Done = true }))
+			}, nil
+		},
+	}
+	srv, err := server.Listen("127.0.0.1:0", e, server.Options{})
+	assert.NilError(t, err)
+	defer srv.Close()
+	r, err = relay.Start(srv.Addr())
+	assert.NilError(t, err)
+	defer r.Close()
+	c := newClient()
+	s, err := c.Generate(t.Context(), r.Addr(), ask())
+	assert.NilError(t, err)
+	_, err = readAll(s)
+	assert.NilError(t, err)
+	assert.NilError(t, s.Close())
+	_, err = c.Generate(t.Context(), r.Addr(), ask())
+	assert.Equal(t, result.CodeOf(err), result.UpstreamFailed, "%v", err)
+	assert.Equal(t, calls, 3)
+}
+
 func TestClosedStreamStopsTheEngine(t *testing.T) {
 	for name, resumes := range map[string]bool{"resumes": true, "cannot resume": false} {
 		t.Run(name, func(t *testing.T) {
--- a/io/transport/client/client_test.go
+++ b/io/transport/client/client_test.go
@@ -58,16 +58,49 @@
 	assert.Equal(t, r.Opened(), 2)
 }
 
-func TestSilenceOfNewConnectionsIsTold(t *testing.T) {
-	r := behindRelay(t, func(http.ResponseWriter, *http.Request) {})
-	r.SetNew(relay.Drop)
-	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+func TestOnceGoesOverANewConnection(t *testing.T) {
+	r := behindRelay(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") })
+	c := client.New()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
-	_, err := client.New().Do(ctx, get(r.Addr()))
-	var f *client.Failure
-	assert.Assert(t, errors.As(err, &f))
-	assert.Assert(t, f.Fresh())
-	assert.Assert(t, f.Sent())
+	a, err := c.Do(ctx, get(r.Addr()))
+	assert.NilError(t, err)
+	drain(t, a)
+	r.SetOpen(relay.Drop)
+	a, err = c.Do(ctx, client.Exchange{Method: http.MethodPost, URL: "http://" + r.Addr() + "/", Body: []byte("x")})
+	assert.NilError(t, err)
+	assert.Equal(t, drain(t, a), "ok")
+}
+
+func TestNoCompressionIsAskedFor(t *testing.T) {
+	r := behindRelay(t, func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, r.Header.Get("Accept-Encoding")) })
+	a, err := client.New().Do(t.Context(), get(r.Addr()))
+	assert.NilError(t, err)
+	assert.Equal(t, drain(t, a), "")
+}
+
+func TestSilenceOfNewConnectionsIsTold(t *testing.T) {
+	cases := map[string]func(x *client.Exchange) time.Duration{
+		"until the deadline": func(*client.Exchange) time.Duration { return 100 * time.Millisecond },
+		"until its own bound": func(x *client.Exchange) time.Duration {
+			x.FreshBy = time.Now().Add(100 * time.Millisecond)
+			return time.Minute
+		},
+	}
+	for name, limit := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := behindRelay(t, func(http.ResponseWriter, *http.Request) {})
+			r.SetNew(relay.Drop)
+			x := get(r.Addr())
+			ctx, cancel := context.WithTimeout(t.Context(), limit(&x))
+			defer cancel()
+			_, err := client.New().Do(ctx, x)
+			var f *client.Failure
+			assert.Assert(t, errors.As(err, &f))
+			assert.Assert(t, f.Fresh())
+			assert.Assert(t, f.Sent())
+		})
+	}
 }
 
 func TestNothingIsSentTwiceUnlessAllowed(t *testing.T) {
@@ -103,6 +136,7 @@
 				Header: http.Header{"Idempotency-Key": {"k"}}, Idempotent: tc.idempotent,
 			})
 			assert.Assert(t, client.Sent(err))
+			assert.Assert(t, !errors.Is(err, io.EOF), "an early end looks like a regular one: %v", err)
 			assert.Equal(t, runs.Load(), tc.want)
 		})
 	}
