--- a/core/state/view.go
+++ b/core/state/view.go
@@ -7,6 +7,7 @@
 
 	"papayaspoke/core/ident"
 	"papayaspoke/core/ordered"
+	"papayaspoke/core/result"
 )
 
 // Class is a class of work.
@@ -91,7 +92,11 @@
 	witnesses ordered.Map[ident.Daemon, uint64]
 	// witnessVersion is that of the set of witnesses.
 	witnessVersion uint64
-	owners         ordered.Map[ident.Upstream, Ownership]
+	// former holds the witnesses before the last change of the set, which the
+	// entry at witnessIndex made.
+	former       ordered.Map[ident.Daemon, uint64]
+	witnessIndex uint64
+	owners       ordered.Map[ident.Upstream, Ownership]
 	// changes holds the newest MaxChanges records by their sequence number.
 	changes ordered.Map[uint64, Record]
 	// sequence is that of the newest record.
@@ -117,6 +122,7 @@
 		adapters:    ordered.New[ident.Adapter, Adapter](ident.Adapter.Compare),
 		drained:     ordered.New[ident.Daemon, uint64](cmp.Compare),
 		witnesses:   ordered.New[ident.Daemon, uint64](cmp.Compare),
+		former:      ordered.New[ident.Daemon, uint64](cmp.Compare),
 		owners:      ordered.New[ident.Upstream, Ownership](cmp.Compare),
 		changes:     ordered.New[uint64, Record](cmp.Compare),
 		changeIDs:   ordered.New[ident.Change, uint64](cmp.Compare),
@@ -173,6 +179,28 @@
 // Witnesses returns the witnesses in order, and the version of the set.
 func (v *View) Witnesses() ([]ident.Daemon, uint64) { return keys(v.witnesses), v.witnessVersion }
 
+// WitnessChange returns the witnesses before the last change of the set and
+// the log index of that change, 0 if there was none. Until the change is
+// visible both sets count.
+func (v *View) WitnessChange() (former []ident.Daemon, index uint64) {
+	return keys(v.former), v.witnessIndex
+}
+
+// witnessesSettled returns an error if the set was changed by the entry that
+// is being applied: two changes at once would skip a set that must agree.
+func (v *View) witnessesSettled() *result.Error {
+	if v.witnessIndex == v.index {
+		return result.New(result.ChangeRefused, "witnesses were changed just now")
+	}
+	return nil
+}
+
+// changeWitnesses replaces the set, and keeps the former one.
+func (v *View) changeWitnesses(to ordered.Map[ident.Daemon, uint64], version uint64) {
+	v.former, v.witnessIndex = v.witnesses, v.index
+	v.witnesses, v.witnessVersion = to, version
+}
+
 // Owner returns the ownership record of an upstream, in force or revoked.
 func (v *View) Owner(name ident.Upstream) (Ownership, bool) { return v.owners.Get(name) }
 
