--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 	./bin/demo
 
 measure:
-	$(GO) test -count=1 -run TestMeasure ./core/coordination/dispatch -args -tables
+	$(GO) test -count=1 -v -run TestMeasure ./core/coordination/dispatch -args -tables
 
 measure-control: build
 	./bin/measure-control
