A listener's stop right after its start no longer hangs

Cause: make check hung ten minutes in TestListenOnUsedAddressFails: the library's pollers clear the sign to stop when they begin, so an early stop is lost and waited for (stack: Engine.Stop in WaitGroup.Wait, pollers in EpollWait). Change: the stop is put off until 200 ms after the start, and its wait is bounded; testgate prints what unfinished tests of a broken package wrote.

--- a/cmd/testgate/main.go
+++ b/cmd/testgate/main.go
@@ -94,7 +94,7 @@
 	if e.Test == "" {
 		if g.failedTests[e.Package] == 0 {
 			g.broken[e.Package] = true
-			g.print(k)
+			g.printPackage(e.Package)
 		}
 		return
 	}
@@ -109,6 +109,16 @@
 	g.print(k)
 }
 
+// printPackage prints what the package's unfinished tests wrote, which is
+// where the stacks of a hang end up.
+func (g *gate) printPackage(pkg string) {
+	for k := range g.output {
+		if k.pkg == pkg {
+			g.print(k)
+		}
+	}
+}
+
 func (g *gate) print(k key) {
 	for _, l := range g.output[k] {
 		fmt.Print(l)
--- a/io/transport/server/server.go
+++ b/io/transport/server/server.go
@@ -33,6 +33,10 @@
 	// linger is how long a refused connection is drained so that its peer can
 	// read the refusal.
 	linger = time.Second
+	// settling is how long the goroutines of a new server take to begin.
+	settling = 200 * time.Millisecond
+	// stopping is how long a stop waits for them to end.
+	stopping = 2 * time.Second
 	// drainPoll is the interval at which a graceful shutdown looks for the end
 	// of the work in flight.
 	drainPoll = 5 * time.Millisecond
@@ -70,6 +74,8 @@
 	inFlight atomic.Int64
 	draining atomic.Bool
 	stopped  sync.Once
+	// settled is when the library's goroutines are sure to run.
+	settled time.Time
 }
 
 // Listen starts to serve h on addr, which is an IP number and a port.
@@ -101,6 +107,7 @@
 	if err := s.engine.Start(); err != nil {
 		return nil, result.New(result.SettingsInvalid, "listen on %s: %w", addr, err)
 	}
+	s.settled = time.Now().Add(settling)
 	return s, nil
 }
 
@@ -170,10 +177,27 @@
 			_ = k.(*nbio.Conn).Close()
 			return true
 		})
-		s.engine.Stop()
+		s.stopEngine()
 	})
 }
 
+// stopEngine stops the library. Its goroutines clear the sign to stop when
+// they begin, so a stop right after the start could be lost and waited for in
+// vain; it is put off until they are sure to run, and the wait is bounded.
+func (s *Server) stopEngine() {
+	time.Sleep(time.Until(s.settled))
+	ended := make(chan struct{})
+	go func() {
+		s.engine.Stop()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(stopping):
+		s.opts.Log.Info("the listener's goroutines have not ended", "address", s.Addr())
+	}
+}
+
 // busy reports whether a request is running or an answer is not yet handed to
 // the network.
 func (s *Server) busy() bool {
