Witness: offers hold entries only for those known to lack them

Cause: a new leader sent up to 256 entries to every witness, since it had no answer of theirs yet, and a witness out of reach was sent the same entries every 300 ms. Change: who has not answered, or not the last offer, is only asked; the rapid test of membership restarts daemons and checks that no version goes back.

--- a/core/coordination/membership/membership_test.go
+++ b/core/coordination/membership/membership_test.go
@@ -352,6 +352,22 @@
 	}
 }
 
+// known names an upstream's record at one run of a daemon.
+type known struct {
+	at   *Membership
+	name ident.Upstream
+}
+
+func (f *fleet) versions() map[known]Version {
+	out := map[known]Version{}
+	for _, a := range f.addresses {
+		for _, u := range f.members[a].Upstreams() {
+			out[known{f.members[a], u.Name}] = u.Version
+		}
+	}
+	return out
+}
+
 // TestNewestVersionWins compares tables with a map that keeps the greatest
 // version, whatever order announcements come in and whatever is lost.
 func TestNewestVersionWins(t *testing.T) {
@@ -368,9 +384,26 @@
 				want[u.Name] = u.Version
 			}
 			f.step(rapid.SampledFrom(f.addresses).Draw(t, "at"), Announce{Upstream: u})
+			before := f.versions()
 			f.run(time.Duration(rapid.IntRange(0, 300).Draw(t, "pass")) * time.Millisecond)
+			for at, v := range f.versions() {
+				assert.Assert(t, v.Compare(before[at]) >= 0, "%v went back", at)
+			}
+			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				i := rapid.IntRange(0, 3).Draw(t, "who")
+				f.now = f.now.Add(time.Millisecond)
+				f.start(fmt.Sprintf("d%03d", i), f.addresses[i])
+			}
 		}
 		f.lossPercent = 0
+		for name, v := range want {
+			// What only a daemon that restarted had heard, the upstream repeats.
+			u := engine(string(name), v.Sequence+1)
+			u.Version.Incarnation = v.Incarnation
+			u.Deadline = f.now.Add(time.Hour)
+			want[name] = u.Version
+			f.step(f.addresses[0], Announce{Upstream: u})
+		}
 		f.run(5 * time.Second)
 		for _, a := range f.addresses {
 			for _, u := range f.members[a].Upstreams() {
--- a/core/coordination/witness/offer.go
+++ b/core/coordination/witness/offer.go
@@ -79,13 +79,17 @@
 	if a.applied >= w.applied || now.Before(a.offerUntil) {
 		return
 	}
-	es, _ := w.tail.after(a.applied)
 	req := w.request(0, d)
-	req.Entries = es
-	a.offerUntil = now.Add(offerTimeout)
 	a.offered = w.applied
-	if len(es) > 0 {
-		a.offered = es[len(es)-1].Index
+	// One that has not answered yet, or not the last offer, may have the
+	// entries already or be out of reach: it is only asked.
+	a.asked = a.inc == 0 || !a.offerUntil.IsZero()
+	if !a.asked {
+		req.Entries, _ = w.tail.after(a.applied)
+	}
+	if n := len(req.Entries); n > 0 {
+		a.offered = req.Entries[n-1].Index
 	}
+	a.offerUntil = now.Add(offerTimeout)
 	w.emit(Send{To: d, Request: req})
 }
--- a/core/coordination/witness/round.go
+++ b/core/coordination/witness/round.go
@@ -185,8 +185,8 @@
 	a.standing = a.standing || resp.Standing
 	a.digest = resp.Digest
 	a.missed = false
-	if resp.Applied >= a.offered {
-		a.offerUntil = time.Time{}
+	if resp.Applied >= a.offered || a.asked {
+		a.offerUntil, a.asked = time.Time{}, false
 	}
 }
 
--- a/core/coordination/witness/witness.go
+++ b/core/coordination/witness/witness.go
@@ -100,6 +100,9 @@
 	offerUntil time.Time
 	// offered is the last index offered to it.
 	offered uint64
+	// asked is true if the offer under way holds no entries because it is not
+	// known what it has.
+	asked bool
 }
 
 // Config is what a [Witness] is made from.
--- a/core/coordination/witness/witness_test.go
+++ b/core/coordination/witness/witness_test.go
@@ -52,6 +52,34 @@
 	}
 }
 
+// TestOffersAreNotWasted counts the entries that a new leader sends to
+// witnesses that have them, and those that go to one out of reach.
+func TestOffersAreNotWasted(t *testing.T) {
+	c := newCluster(t, 5)
+	c.form()
+	for range 50 {
+		c.commit(nil, "d00")
+	}
+	c.run(time.Second)
+	sent := map[ident.Daemon]int{}
+	c.lose = func(p packet) bool {
+		if p.resp == nil {
+			sent[p.to] += len(p.req.Entries)
+		}
+		return p.from.name == "d04" || p.to == "d04"
+	}
+	c.step(c.nodes["d00"], witness.Leading{})
+	c.step(c.nodes["d01"], witness.Leading{On: true})
+	for range 10 {
+		c.commit(nil, "d01")
+		c.run(300 * time.Millisecond)
+	}
+	assert.Equal(t, c.nodes["d01"].w.Visible(), c.last())
+	for d, n := range sent {
+		assert.Assert(t, n <= 20, "%d entries to %s, which lacked 10", n, d)
+	}
+}
+
 // TestNoGapWhenWitnessesDie ends five of eleven one after the other: the rest
 // never stops being fresh.
 func TestNoGapWhenWitnessesDie(t *testing.T) {
