--- a/core/coordination/dispatch/load.go
+++ b/core/coordination/dispatch/load.go
@@ -26,7 +26,7 @@
 
 // bestWant returns the most useful load for p.
 func (d *Dispatcher) bestWant(now time.Time, p *replica) (want, bool) {
-	if !p.usable() || p.draining || p.load != nil || p.uncertain() {
+	if p.waiting == 0 || !p.usable() || p.draining || p.load != nil || p.uncertain() {
 		return want{}, false
 	}
 	lines := d.coldLines(now, p)
@@ -42,32 +42,18 @@
 		victim = idle[d.policy.Victim(now, idle)]
 	}
 	var best want
-	var found bool
+	var first *request
 	for _, l := range lines {
-		w := budget.Want{
-			Upstream: p.name,
-			Adapter:  l.adapter,
-			Saves:    d.policy.Saves(len(l.requests), victim),
-			Deadline: d.latestStart(now, l.requests[0]),
-		}
-		if !found || compareWants(w, best.Want) < 0 {
-			best, found = want{Want: w, victim: victim.Adapter}, true
+		head := l.requests[0]
+		saves := d.policy.Saves(len(l.requests), victim)
+		if first != nil && (saves < best.Saves || saves == best.Saves && d.policy.Compare(head.Request, first.Request) > 0) {
+			continue
 		}
+		first = head
+		best.Want = budget.Want{Upstream: p.name, Adapter: l.adapter, Saves: saves, Deadline: d.latestStart(now, head)}
+		best.victim = victim.Adapter
 	}
-	return best, found
-}
-
-func compareWants(a, b budget.Want) int {
-	switch {
-	case a.Saves > b.Saves:
-		return -1
-	case a.Saves < b.Saves:
-		return 1
-	}
-	if c := a.Deadline.Compare(b.Deadline); c != 0 {
-		return c
-	}
-	return a.Adapter.Compare(b.Adapter)
+	return best, true
 }
 
 // coldLines returns the lines that wait for an adapter that may be loaded.
@@ -138,6 +124,36 @@
 	return !slices.EqualFunc(d.asked, wants, same)
 }
 
+// budgetLost switches to the fixed share. If it is nothing, requests that wait
+// for a load are handed back, to be routed to an owner that may load.
+func (d *Dispatcher) budgetLost(now time.Time, ev BudgetLost) {
+	d.fallback, d.share = true, ev.Share
+	d.admission.share = 1
+	for _, p := range d.replicas {
+		d.emit(Announce{Upstream: p.name})
+		if !d.mayLoad() {
+			d.moveCold(now, p)
+		}
+	}
+}
+
+// moveCold places the requests anew that wait for an adapter to be loaded.
+func (d *Dispatcher) moveCold(now time.Time, p *replica) {
+	waiting := p.queued()
+	sortRequests(waiting)
+	for _, r := range waiting {
+		if !p.expects(r.Adapter) {
+			p.dequeue(r)
+			d.place(now, r)
+		}
+	}
+}
+
+// mayLoad reports whether this owner may load at all at present.
+func (d *Dispatcher) mayLoad() bool {
+	return !d.policy.Budgeted || !d.fallback || d.share.PerSecond > 0
+}
+
 // takeShare uses the fixed share for one load, if it allows one now.
 func (d *Dispatcher) takeShare(now time.Time) bool {
 	d.starts = slices.DeleteFunc(d.starts, func(t time.Time) bool { return now.Sub(t) >= time.Second })
--- a/io/transport/disk/disk_test.go
+++ b/io/transport/disk/disk_test.go
@@ -6,11 +6,14 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"papayaspoke/core/coordination/consensus"
 	"papayaspoke/core/coordination/entry"
+	"papayaspoke/core/ident"
 	"papayaspoke/core/option"
 	"papayaspoke/core/result"
 )
@@ -189,6 +192,17 @@
 	}
 }
 
+// TestMissingSnapshotIsDamage checks the case where no entry shows the gap.
+func TestMissingSnapshotIsDamage(t *testing.T) {
+	path := filled(t)
+	f := open(t, path)
+	assert.NilError(t, f.Write([]consensus.Persist{withSnapshot(batch(1, 1, 1, 0), 50, 1)}))
+	assert.NilError(t, f.Close())
+	assert.NilError(t, os.Remove(filepath.Join(path, snapshotName(2))))
+	_, err := Open(path, "a")
+	assert.Equal(t, result.CodeOf(err), result.DiskDamaged)
+}
+
 func TestForeignFolder(t *testing.T) {
 	path := filled(t)
 	_, err := Open(path, "b")
@@ -236,21 +250,46 @@
 	}
 }
 
-// TestInterruptedGeneration leaves the files of a snapshot that never came
-// into use.
+// TestInterruptedGeneration puts files of a folder with a new snapshot over
+// those of the folder before it, as crashes at each step leave them.
 func TestInterruptedGeneration(t *testing.T) {
-	path := filled(t)
-	f := open(t, path)
-	assert.NilError(t, f.writeGeneration(2, consensus.State{Hard: consensus.Hard{Term: 9}, Snapshot: consensus.Snapshot{Index: 3}}))
-	assert.NilError(t, f.Close())
-	f = open(t, path)
-	assert.Equal(t, len(f.State().Entries), 50)
-	assert.Equal(t, f.State().Hard.Term, uint64(1))
-	assert.NilError(t, f.Write([]consensus.Persist{withSnapshot(batch(1, 1, 1, 0), 50, 1)}))
-	assert.NilError(t, f.Close())
-	f = open(t, path)
-	assert.Equal(t, f.State().Snapshot.Index, uint64(50))
-	assert.NilError(t, f.Close())
+	cases := map[string]struct {
+		reached []string
+		// snapshot is the index of the snapshot that is in force.
+		snapshot uint64
+	}{
+		"snapshot":    {[]string{"snapshot-2"}, 0},
+		"log":         {[]string{"snapshot-2", "log-2"}, 0},
+		"current":     {[]string{"snapshot-2", "log-2", currentName}, 30},
+		"log alone":   {[]string{"log-2"}, 0},
+		"temporaries": {[]string{".snapshot-217", ".current17"}, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			before, after := filled(t), filled(t)
+			f := open(t, after)
+			assert.NilError(t, f.Write([]consensus.Persist{withSnapshot(batch(1, 1, 31, 20), 30, 1)}))
+			assert.NilError(t, f.Close())
+			for _, file := range []string{".snapshot-217", ".current17"} {
+				assert.NilError(t, os.WriteFile(filepath.Join(after, file), nil, 0o600))
+			}
+			for _, file := range tc.reached {
+				assert.NilError(t, os.RemoveAll(filepath.Join(before, file)))
+				assert.NilError(t, os.Rename(filepath.Join(after, file), filepath.Join(before, file)))
+			}
+			for range 2 {
+				f = open(t, before)
+				assert.Equal(t, f.State().Snapshot.Index, tc.snapshot)
+				assert.Equal(t, f.State().Snapshot.Index+uint64(len(f.State().Entries)), uint64(50))
+				assert.NilError(t, f.Write([]consensus.Persist{withSnapshot(batch(1, 1, tc.snapshot+2, int(50-tc.snapshot-1)), tc.snapshot+1, 1)}))
+				tc.snapshot++
+				assert.NilError(t, f.Close())
+			}
+			left, err := os.ReadDir(before)
+			assert.NilError(t, err)
+			assert.Equal(t, len(left), 5, "%v", left)
+		})
+	}
 }
 
 func TestRecover(t *testing.T) {
@@ -297,6 +336,53 @@
 	assert.Assert(t, f.Write(nil) != nil)
 }
 
+// TestNodeContinuesAfterRestart runs a node on a folder through hundreds of
+// commits, snapshots and restarts; its state machine counts commands.
+func TestNodeContinuesAfterRestart(t *testing.T) {
+	const perRun, runs = 500, 5
+	path := filepath.Join(t.TempDir(), "data")
+	now := time.Unix(1000, 0)
+	for run := range runs {
+		f := open(t, path)
+		st := f.State()
+		count := 0
+		if run > 0 {
+			count, _ = strconv.Atoi(string(st.Snapshot.Data))
+		}
+		n := consensus.New(now, consensus.Settings{
+			Self: f.Voter(), Listed: []ident.Daemon{"a"}, Random: func(int64) int64 { return 0 },
+			NewCluster: func() string { return "k" },
+		}, st)
+		step := func(ev consensus.Event) {
+			for more := true; more; {
+				e := n.Step(now, ev)
+				for _, en := range e.Committed {
+					if en.Kind == entry.Command {
+						count++
+					}
+				}
+				var p consensus.Persist
+				if p, more = e.Persist.Get(); more {
+					assert.NilError(t, f.Write([]consensus.Persist{p}))
+					ev = consensus.Synced(p.Number)
+				}
+			}
+		}
+		for !n.Established() {
+			now = now.Add(consensus.TickInterval)
+			step(consensus.Tick())
+		}
+		assert.Equal(t, count, run*perRun)
+		for i := range uint64(perRun) {
+			if step(consensus.Propose(i, []byte("x"))); i == 300 {
+				step(consensus.Compact(n.Commit(), strconv.AppendInt(nil, int64(count), 10)))
+			}
+		}
+		assert.Equal(t, n.Term(), uint64(run)+2)
+		assert.NilError(t, f.Close())
+	}
+}
+
 func BenchmarkCommit(b *testing.B) {
 	for _, size := range []int{1, 64} {
 		b.Run(fmt.Sprintf("group of %d", size), func(b *testing.B) {
