Witness: say what the clock has to do

Cause: a paused VM's monotonic clock may stand still; the package comment said nothing of it. Ruled out: mending it here: the clock belongs to the daemon. Adding up the greater of the steps of the wall and the monotonic clock would do. Change: the package comment.

--- a/core/coordination/witness/doc.go
+++ b/core/coordination/witness/doc.go
@@ -75,6 +75,13 @@
 // above, before it stands. A run that already stands and hears of a greater
 // incarnation under its own name has been replaced, and stops for good.
 //
+// # Clocks
+//
+// FreshFor is counted on the clock that Step is given, which must not stand
+// still while time passes. Go's monotonic clock goes on while a process is
+// stopped; on a VM that is itself paused it may not. A daemon that wakes from
+// that can hold itself fresh for at most FreshFor longer than it is.
+//
 // # Cost
 //
 // At n = 11 each daemon asks 5 others in 400 ms. In larger clusters the
