Server: a refusal could shut down another connection; four more traps

Cause: repeated runs under load (four processes side by side, -race) were red in two ways. A refusal's half-close went by file number, which could belong to another connection by then: its caller saw the connection end. And the library's Stop waits for pollers, one of which can miss the stop if it had not begun to run: Close hung. Reading on, four more: the 33rd request of a pipeline was left out, so the 34th answer would have been taken for its own; HTTP/1.0 streams got the length of their first piece; Content-Length could be given twice; a graceful stop cut a request that was still arriving. Change: no half-close; the library stops in the background; a pipeline that is too long ends the connection; answers for HTTP/1.0 are held until they are whole; two lengths are refused (P107); a shutdown waits for what arrives; Expect: 100-continue is answered. Conclusion: raw socket calls on the library's connections are out.

--- a/io/transport/server/conn.go
+++ b/io/transport/server/conn.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -159,10 +158,17 @@
 }
 
 // execute queues a request behind those that are running on this connection.
+// If there are too many, the connection is closed: were one request left out,
+// the answer to the next would be taken for its own.
 func (c *conn) execute(job func()) bool {
 	c.mu.Lock()
-	if c.closed || c.refused || len(c.jobs) >= maxPipelined {
+	full := len(c.jobs) >= maxPipelined
+	if c.closed || c.refused || full {
+		c.refused = true
 		c.mu.Unlock()
+		if full {
+			_ = c.nb.Close()
+		}
 		return false
 	}
 	c.whole++
@@ -204,15 +210,23 @@
 	}
 	_ = c.nb.SetReadDeadline(c.server.opts.IdleUntil(time.Now()))
 	// A request may have begun, or an answer grown, since the caller looked.
-	if c.busy() {
+	if c.working() {
 		_ = c.nb.SetReadDeadline(time.Time{})
 	}
 }
 
+// busy reports whether a request is arriving, waiting or running, or an answer
+// is not yet handed to the network.
 func (c *conn) busy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.closed && !c.refused && (len(c.jobs) > 0 || c.unsent > 0)
+	return !c.closed && !c.refused && (len(c.jobs) > 0 || c.unsent > 0 || c.timer != nil)
+}
+
+func (c *conn) working() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.jobs) > 0 || c.unsent > 0
 }
 
 func (c *conn) close() {
@@ -263,7 +277,6 @@
 		return
 	}
 	_, _ = c.nb.Write(encodeRefusal(c.server.opts.Refuse, err))
-	closeWrite(c.nb)
 	_ = c.nb.SetReadDeadline(time.Now().Add(linger))
 }
 
@@ -283,14 +296,6 @@
 	return out.Bytes()
 }
 
-func closeWrite(nb *nbio.Conn) {
-	raw, err := nb.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_WR) })
-}
-
 type readCloser struct{ *bytes.Buffer }
 
 func (readCloser) Close() error { return nil }
--- a/io/transport/server/processor.go
+++ b/io/transport/server/processor.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/lesismal/nbio/nbhttp"
 
@@ -15,8 +16,12 @@
 	conn *conn
 	// headers counts the bytes of the request's headers.
 	headers int
-	// lengths and chunked tell which length headers the request has.
-	lengths, chunked bool
+	// lengths counts the request's Content-Length headers.
+	lengths int
+	// chunked is true if the request has a Transfer-Encoding.
+	chunked bool
+	// expects is true if the other end waits to be told to send the body.
+	expects bool
 	// body counts the bytes of the request's body so far.
 	body int
 }
@@ -32,9 +37,11 @@
 	p.headers += len(key) + len(value)
 	switch key {
 	case "Content-Length":
-		p.lengths = true
+		p.lengths++
 	case "Transfer-Encoding":
 		p.chunked = true
+	case "Expect":
+		p.expects = strings.EqualFold(value, "100-continue")
 	}
 	p.Processor.OnHeader(parser, key, value)
 }
@@ -43,12 +50,16 @@
 // Content-Length applies.
 func (p *processor) OnContentLength(parser *nbhttp.Parser, length int) {
 	switch {
-	case p.lengths && p.chunked:
+	case p.lengths > 0 && p.chunked:
 		p.refuse(parser, result.New(result.LengthConflict, "both length headers were sent"))
+	case p.lengths > 1:
+		p.refuse(parser, result.New(result.LengthConflict, "Content-Length was sent %d times", p.lengths))
 	case length > p.conn.server.opts.MaxBody:
 		p.refuse(parser, p.tooLarge())
 	case p.headers > maxHead:
 		p.refuse(parser, result.New(result.TooLarge, "headers are larger than %d bytes", maxHead))
+	case p.expects && !p.conn.working():
+		_, _ = parser.Conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
 	p.Processor.OnContentLength(parser, length)
 }
--- a/io/transport/server/server.go
+++ b/io/transport/server/server.go
@@ -165,7 +165,9 @@
 			_ = k.(*nbio.Conn).Close()
 			return true
 		})
-		s.engine.Stop()
+		// The library waits for its pollers, and one that had not begun to run
+		// misses the stop. Nothing here depends on their end.
+		go s.engine.Stop()
 	})
 }
 
--- a/io/transport/server/server_test.go
+++ b/io/transport/server/server_test.go
@@ -118,6 +118,7 @@
 		"large chunked":    {"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" + big + "\r\n0\r\n\r\n", "413", "106"},
 		"both lengths":     {"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "400", "107"},
 		"both, other way":  {"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "400", "107"},
+		"two lengths":      {"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "400", "107"},
 		"not HTTP":         {"\x16\x03\x01 hello\r\n\r\n", "400", "101"},
 		"bad length":       {"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: many\r\n\r\n", "400", "101"},
 		"half-sent head":   {"POST / HTTP/1.1\r\nHo", "408", "116"},
@@ -258,3 +259,84 @@
 		assert.Equal(t, string(b), want)
 	}
 }
+
+func TestTooManyPipelinedRequestsEndTheConnection(t *testing.T) {
+	s := listen(t, server.Options{}, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(time.Millisecond)
+		fmt.Fprint(w, r.URL.Path)
+	})
+	c := dial(t, s)
+	go func() {
+		for i := range 500 {
+			fmt.Fprintf(c, "GET /%d HTTP/1.1\r\nHost: x\r\n\r\n", i)
+		}
+	}()
+	in := bufio.NewReader(c)
+	for i := range 500 {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			return
+		}
+		b, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(b), fmt.Sprintf("/%d", i))
+	}
+}
+
+func TestOldProtocolGetsTheWholeAnswer(t *testing.T) {
+	s := listen(t, server.Options{}, func(w http.ResponseWriter, _ *http.Request) {
+		for range 5 {
+			fmt.Fprint(w, strings.Repeat("x", 20_000))
+			w.(http.Flusher).Flush()
+		}
+	})
+	c := dial(t, s)
+	fmt.Fprint(c, "GET / HTTP/1.0\r\nHost: x\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.ContentLength, int64(100_000))
+	b, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, len(b), 100_000)
+}
+
+func TestExpectedBodyIsAskedFor(t *testing.T) {
+	s := listen(t, server.Options{}, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+	c := dial(t, s)
+	fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+	in := bufio.NewReader(c)
+	resp, err := http.ReadResponse(in, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 100)
+	fmt.Fprint(c, "body")
+	resp, err = http.ReadResponse(in, nil)
+	assert.NilError(t, err)
+	b, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(b), "body")
+}
+
+func TestShutdownWaitsForARequestThatArrives(t *testing.T) {
+	s := listen(t, server.Options{}, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+	c := dial(t, s)
+	fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbo")
+	for s.Connections() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond)
+	down := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		down <- s.Shutdown(ctx)
+	}()
+	time.Sleep(50 * time.Millisecond)
+	fmt.Fprint(c, "dy")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Assert(t, resp.Close, "the other end is asked to close")
+	b, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(b), "body")
+	assert.NilError(t, <-down)
+}
--- a/io/transport/server/writer.go
+++ b/io/transport/server/writer.go
@@ -51,7 +51,7 @@
 	ctx, cancel := c.begin(r.Context())
 	defer c.end()
 	defer cancel(context.Canceled)
-	w := &writer{res: res, conn: c, head: r.Method == http.MethodHead}
+	w := &writer{res: res, conn: c, head: r.Method == http.MethodHead, hold: !r.ProtoAtLeast(1, 1)}
 	defer w.finish()
 	// The library closes the connection right after writing the last answer,
 	// which loses what a slow reader has not taken. The reader closes instead.
@@ -75,7 +75,11 @@
 type writer struct {
 	res  *nbhttp.Response
 	conn *conn
+	// head is true if the answer has no body.
 	head bool
+	// hold is true if the answer must go out at once, since the protocol has
+	// no chunks and an early flush would fix its length.
+	hold bool
 
 	mu sync.Mutex
 	// buffered counts the bytes given to the library since the last flush.
@@ -153,7 +157,9 @@
 }
 
 func (w *writer) flush() {
-	w.res.Flush()
+	if !w.hold {
+		w.res.Flush()
+	}
 	w.buffered = 0
 }
 
