--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"papayaspoke/core/ident"
+	"papayaspoke/core/ordered"
 	"papayaspoke/core/result"
 )
 
@@ -90,7 +91,9 @@
 	v.store, v.witnessVersion = s.Store, s.WitnessVersion
 	v.witnessIndex = s.WitnessIndex
 	v.sequence, v.expired = s.Sequence, s.Expired
-	v.loadCatalogue(s)
+	if err := v.loadCatalogue(s); err != nil {
+		return nil, err
+	}
 	v.loadControl(s)
 	for _, e := range s.Entries {
 		if e == nil || v.entries.Has(e.Key) {
@@ -104,16 +107,23 @@
 	return st, nil
 }
 
-func (v *View) loadCatalogue(s Snapshot) {
+func (v *View) loadCatalogue(s Snapshot) *result.Error {
 	for _, c := range s.Classes {
 		v.classes = v.classes.Put(c.Name, c)
 	}
 	for _, m := range s.Models {
 		v.models = v.models.Put(m.Name, m)
 	}
+	names := make([]ident.Adapter, 0, len(s.Adapters))
 	for _, a := range s.Adapters {
-		v.adapters = v.adapters.Put(a.Name, a)
+		names = append(names, a.Name)
+	}
+	adapters, ok := ordered.FromSorted(ident.Adapter.Compare, names, s.Adapters)
+	if !ok {
+		return damaged("adapters are not in order")
 	}
+	v.adapters = adapters
+	return nil
 }
 
 func (v *View) loadControl(s Snapshot) {
@@ -212,6 +222,9 @@
 	if uint64(v.changes.Len()) > v.sequence {
 		return damaged("%d changes, but the newest has number %d", v.changes.Len(), v.sequence)
 	}
+	if v.witnessIndex > v.index || v.former.Len() > MaxWitnesses {
+		return damaged("witnesses were changed at %d from %d", v.witnessIndex, v.former.Len())
+	}
 	if v.witnesses.Len() > MaxWitnesses || v.quarantined.Len() > MaxQuarantined {
 		return damaged("%d witnesses, %d quarantines", v.witnesses.Len(), v.quarantined.Len())
 	}
--- a/io/transport/server/server_test.go
+++ b/io/transport/server/server_test.go
@@ -340,3 +340,9 @@
 	assert.Equal(t, string(b), "body")
 	assert.NilError(t, <-down)
 }
+
+func TestListenOnUsedAddressFails(t *testing.T) {
+	s := listen(t, server.Options{}, func(http.ResponseWriter, *http.Request) {})
+	_, err := server.Listen(s.Addr(), http.NotFoundHandler(), server.Options{})
+	assert.ErrorContains(t, err, "address already in use")
+}
