--- a/io/protocol/upstream/stream.go
+++ b/io/protocol/upstream/stream.go
@@ -19,6 +19,8 @@
 	maxLine = 1 << 20
 	// maxResumes is how often a stream is resumed without a new line.
 	maxResumes = 2
+	// drainWithin bounds the wait for the end of a response.
+	drainWithin = 200 * time.Millisecond
 )
 
 // Stream is text as an engine makes it. Next is used by one goroutine; Close
@@ -164,16 +166,25 @@
 		s.mu.Lock()
 		whole := s.whole
 		s.mu.Unlock()
-		s.cancel()
 		if whole {
+			s.drain()
 			_ = s.answer.Body().Close()
+			s.cancel()
 			return
 		}
+		s.cancel()
 		go s.tellCancel()
 	})
 	return nil
 }
 
+// drain reads the end of the response behind the last line, without which the
+// connection could not be used again.
+func (s *Stream) drain() {
+	s.answer.LimitSilence(func(now time.Time) time.Time { return now.Add(drainWithin) })
+	_, _ = io.CopyN(io.Discard, s.lines, 1)
+}
+
 func (s *Stream) tellCancel() {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), cancelWithin)
 	defer cancel()
