--- a/io/standin/cluster/call.go
+++ b/io/standin/cluster/call.go
@@ -132,6 +132,11 @@
 	Standing bool   `json:"standing"`
 	Fresh    string `json:"fresh"`
 	Version  uint64 `json:"version"`
+	Heap     uint64 `json:"heap"`
+	Adapters int    `json:"adapters"`
+	Lists    struct {
+		Upstreams []string `json:"upstreams"`
+	} `json:"lists"`
 	Replicas []struct {
 		Upstream  string   `json:"upstream"`
 		Fence     uint64   `json:"fence"`
