Load budget: a daemon without a disk finds the leader

Cause: only a voter's consensus node says who leads. A daemon without a disk never asked for permits: its dump showed no leader and fallback true for as long as it ran (7 daemons, 3 voters: 4 of 4 without a disk), so most VMs would have loaded by fixed shares. Found while measuring 7 daemons, not by a test. Ruled out: a field in the witness exchange, which says nothing of leadership and would change the modelled protocol; asking all voters at once. Change: without a known leader it asks one voter after the other for permits; who answers as holder is the leader, who does not is forgotten.

--- a/io/daemon/peers.go
+++ b/io/daemon/peers.go
@@ -134,6 +134,7 @@
 		granted, holder, err := p.client.Permits(ctx, addr, a, released)
 		p.post(func(now time.Time) {
 			p.ctl.permits.asking = false
+			p.ctl.noteHolder(to, err == nil && holder)
 			if err != nil {
 				p.ctl.permits.released = append(p.ctl.permits.released, released...)
 				return
--- a/io/daemon/permits.go
+++ b/io/daemon/permits.go
@@ -33,6 +33,8 @@
 	lost  bool
 	// asking is true while a question is under way.
 	asking bool
+	// guess counts the voters that were asked without knowing who leads.
+	guess int
 
 	// holder is nil unless this daemon leads.
 	holder *budget.Holder
@@ -67,12 +69,47 @@
 		c.permitted(now, now, c.holderAsk(now, p.ask, released))
 		return
 	}
-	if c.leader == "" || c.leader == c.self {
+	to := c.holderOrGuess()
+	if to == "" || to == c.self {
 		p.released = released
 		return
 	}
 	p.asking = true
-	c.send.permits(c.leader, p.ask, released)
+	c.send.permits(to, p.ask, released)
+}
+
+// holderOrGuess returns the last known leader. A daemon without a disk is not
+// told who leads, so it asks one voter after the other until one says that it
+// holds the budget.
+func (c *control) holderOrGuess() ident.Daemon {
+	if c.leader != "" || c.voter != nil {
+		return c.leader
+	}
+	var disks []ident.Daemon
+	for _, m := range c.members.Daemons() {
+		if m.Disk != "" {
+			disks = append(disks, m.Name)
+		}
+	}
+	if len(disks) == 0 {
+		return ""
+	}
+	c.permits.guess++
+	return disks[c.permits.guess%len(disks)]
+}
+
+// noteHolder takes note, at a daemon without a disk, of whether the one that
+// it asked leads.
+func (c *control) noteHolder(name ident.Daemon, holds bool) {
+	if c.voter != nil {
+		return
+	}
+	leader := name
+	if !holds {
+		leader = ""
+	}
+	c.dirty = c.dirty || c.leader != leader
+	c.leader = leader
 }
 
 // holderAsk serves a question at the holder and returns the permits of the
--- a/io/standin/cluster/call.go
+++ b/io/standin/cluster/call.go
@@ -134,6 +134,7 @@
 	Version  uint64 `json:"version"`
 	Heap     uint64 `json:"heap"`
 	Adapters int    `json:"adapters"`
+	Fallback bool   `json:"fallback"`
 	Lists    struct {
 		Upstreams []string `json:"upstreams"`
 	} `json:"lists"`
