--- a/io/terminal/commands.go
+++ b/io/terminal/commands.go
@@ -1,5 +1,7 @@
 package terminal
 
+import "strings"
+
 // command is one row of the command table.
 type command struct {
 	// group and verb are the two words of the command; verb may be empty.
@@ -49,3 +51,12 @@
 	{group: "metrics", title: "Print the metrics of the daemon at the first address", example: "papayaspoke metrics", run: metrics},
 	{group: "recover", title: "Start a new cluster from the newest state any daemon holds, after the loss of a majority of voters", example: "papayaspoke recover --yes", flags: []string{"yes"}, run: recoverCluster},
 }
+
+// Commands returns the words of every command, such as "class list".
+func Commands() []string {
+	var names []string
+	for _, c := range commands {
+		names = append(names, strings.TrimSpace(c.group+" "+c.verb))
+	}
+	return names
+}
