Command line: bad lines are numbered, the flag replaces the environment

Ruled out: one writer of errors for operators and callers; the bodies differ (an Answer with its code at the top, and an error object).

--- a/cmd/engine/main.go
+++ b/cmd/engine/main.go
@@ -3,17 +3,16 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"strings"
 	"syscall"
 	"time"
 
-	"github.com/go-logr/logr/funcr"
 	"github.com/integrii/flaggy"
 
 	"papayaspoke/core/ident"
+	"papayaspoke/io/logs"
 	"papayaspoke/io/standin/engine"
 )
 
@@ -51,7 +50,7 @@
 	flaggy.Bool(&noResume, "", "no-resume", "do not resume streams")
 	flaggy.Parse()
 
-	log := funcr.NewJSON(func(line string) { fmt.Println(line) }, funcr.Options{LogTimestamp: true})
+	log := logs.New(os.Stdout, 0)
 	opts := engine.Options{
 		Daemons: split(daemons), Tokens: tokens, TokenAt: engine.After(token), LoadedAt: engine.After(load),
 		ReportedAt: engine.After(lag), CrashWord: crash, Crash: func() { os.Exit(crashed) },
--- a/cmd/papayaspoked/main.go
+++ b/cmd/papayaspoked/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -14,6 +15,7 @@
 	"papayaspoke/io/daemon"
 	"papayaspoke/io/logs"
 	"papayaspoke/io/settings"
+	"papayaspoke/io/terminal/cmdline"
 )
 
 func main() {
@@ -27,14 +29,18 @@
 	p.AdditionalHelpAppend = "\nExample: papayaspoked run --settings /etc/papayaspoke/papayaspoked.toml"
 	serve := flaggy.NewSubcommand("run")
 	serve.Description = "Run the daemon until SIGTERM"
+	serve.AdditionalHelpAppend = "\nExample: papayaspoked run --settings /etc/papayaspoke/papayaspoked.toml"
 	serve.String(&path, "s", "settings", "Settings file")
 	validate := flaggy.NewSubcommand("validate")
 	validate.Description = "Check a settings file and exit"
+	validate.AdditionalHelpAppend = "\nExample: papayaspoked validate --settings /etc/papayaspoke/papayaspoked.toml"
 	validate.String(&path, "s", "settings", "Settings file")
 	p.AttachSubcommand(serve, 1)
 	p.AttachSubcommand(validate, 1)
-	if err := p.ParseArgs(args); err != nil {
-		return fail(result.New(result.Malformed, "%w", err))
+	if err := cmdline.Parse(p, args); errors.Is(err, cmdline.ErrHelp) {
+		return 0
+	} else if err != nil {
+		return fail(err)
 	}
 	if !serve.Used && !validate.Used {
 		p.ShowHelp()
--- a/cmd/service/main.go
+++ b/cmd/service/main.go
@@ -3,17 +3,16 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"strings"
 	"syscall"
 	"time"
 
-	"github.com/go-logr/logr/funcr"
 	"github.com/integrii/flaggy"
 
 	"papayaspoke/core/ident"
+	"papayaspoke/io/logs"
 	"papayaspoke/io/standin/service"
 )
 
@@ -40,7 +39,7 @@
 	flaggy.String(&idempotent, "", "idempotent", "path prefixes that may be called again, separated by commas")
 	flaggy.Parse()
 
-	log := funcr.NewJSON(func(line string) { fmt.Println(line) }, funcr.Options{LogTimestamp: true})
+	log := logs.New(os.Stdout, 0)
 	opts := service.Options{
 		Daemons: split(daemons), CrashWord: crash, Crash: func() { os.Exit(crashed) }, Log: log,
 		AnsweredAt: func(now time.Time) time.Time { return now.Add(delay) },
--- a/io/protocol/operator/handler.go
+++ b/io/protocol/operator/handler.go
@@ -95,7 +95,7 @@
 	if e.Code() == result.Pending {
 		status = "pending"
 	}
-	return Answer{Code: int(e.Code()), Status: status, Detail: e.Error(), Advice: info.Advice}
+	return Answer{Code: int(e.Code()), Status: status, Detail: e.Detail(), Advice: info.Advice}
 }
 
 func writeAnswer(w http.ResponseWriter, a Answer, err error) {
--- a/io/terminal/terminal.go
+++ b/io/terminal/terminal.go
@@ -1,9 +1,11 @@
 package terminal
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -14,6 +16,7 @@
 	"github.com/integrii/flaggy"
 	"papayaspoke/core/result"
 	"papayaspoke/io/protocol/operator"
+	"papayaspoke/io/terminal/cmdline"
 )
 
 const (
@@ -72,6 +75,9 @@
 func Run(args []string, out, errOut io.Writer) int {
 	opts := &options{}
 	cmd, err := parse(args, opts)
+	if errors.Is(err, cmdline.ErrHelp) {
+		return 0
+	}
 	if err != nil {
 		return fail(errOut, err)
 	}
@@ -100,15 +106,15 @@
 	p.AdditionalHelpAppend = "\nExample: papayaspoke class list --operator 127.0.0.1:7001 --token token"
 	p.ShowHelpOnUnexpected = true
 	opts.token = os.Getenv("PAPAYASPOKE_TOKEN_FILE")
-	if env := os.Getenv("PAPAYASPOKE_OPERATOR"); env != "" {
-		opts.operators = strings.Split(env, ",")
-	}
 	p.StringSlice(&opts.operators, "o", "operator", "Operator address of a daemon, IP:PORT; may be repeated (or PAPAYASPOKE_OPERATOR)")
 	p.String(&opts.token, "t", "token", "File with the operators' token (or PAPAYASPOKE_TOKEN_FILE)")
 	p.Bool(&opts.json, "j", "json", "Print JSON")
 	leaves := attach(p, opts)
-	if err := p.ParseArgs(args); err != nil {
-		return command{}, result.New(result.Malformed, "%w", err)
+	if err := cmdline.Parse(p, args); err != nil {
+		return command{}, err
+	}
+	if env := os.Getenv("PAPAYASPOKE_OPERATOR"); env != "" && len(opts.operators) == 0 {
+		opts.operators = strings.Split(env, ",")
 	}
 	for sc, cmd := range leaves {
 		if sc.Used {
@@ -193,7 +199,7 @@
 			return err
 		}
 	} else if a.Code == 0 {
-		fmt.Fprintf(s.out, "accepted: %s is now version %d (change id %s)\n", c.Name, a.Version, c.ID)
+		fmt.Fprintf(s.out, "accepted: %s is now version %d (change id %s)\n", cmp.Or(c.Name, s.cmd.group), a.Version, c.ID)
 	}
 	if a.Code != 0 {
 		return result.New(result.Code(a.Code), "%s (current version %d, change id %s)", a.Detail, a.Version, c.ID)
