--- a/core/state/command.go
+++ b/core/state/command.go
@@ -119,9 +119,12 @@
 }
 
 // FormWitnesses makes the first set of witnesses. It is refused once there is
-// one. A set that grew from a single daemon could lose its majority with the
-// first VM that fails.
+// one, unless it is forced. A set that grew from a single daemon could lose its
+// majority with the first VM that fails.
 type FormWitnesses struct {
+	// Forced replaces a set whose majority is lost, in a forced recovery: the
+	// former set has no say.
+	Forced bool
 	// Names are from 1 to [MaxWitnesses] daemons, each once.
 	Names []ident.Daemon
 }
--- a/core/state/edit.go
+++ b/core/state/edit.go
@@ -251,13 +251,14 @@
 
 func (c FormWitnesses) apply(s *State) Outcome {
 	v := &s.v
-	if v.witnesses.Len() > 0 {
+	if v.witnesses.Len() > 0 && !c.Forced {
 		return failed(result.New(result.ChangeRefused, "there are witnesses already"))
 	}
 	if len(c.Names) == 0 || len(c.Names) > MaxWitnesses {
 		return failed(result.New(result.ChangeInvalid, "%d witnesses, 1 to %d are possible", len(c.Names), MaxWitnesses))
 	}
-	set := v.witnesses
+	none := newView().witnesses
+	set := none
 	for _, name := range c.Names {
 		if err := checkName("daemon", string(name)); err != nil {
 			return failed(err)
@@ -265,6 +266,7 @@
 		set = set.Put(name, v.version+1)
 	}
 	v.version++
+	v.witnesses = none
 	v.changeWitnesses(set, v.version)
 	return Outcome{Version: v.version}
 }
--- a/e2e/control_test.go
+++ b/e2e/control_test.go
@@ -248,3 +248,34 @@
 	})
 	return owner
 }
+
+// Two of three disks are lost for good. Operators start a new cluster from
+// what the third holds; the others come back with empty disks and vote again.
+func TestForcedRecovery(t *testing.T) {
+	w := start(t)
+	v := w.version()
+	a, err := w.setTarget(w.ctx, "c1", v, 3000)
+	assert.NilError(t, err)
+	assert.Equal(t, a.Code, 0, a.Detail)
+	names := w.Names()
+	left := names[2]
+	w.eventually("the change is at the survivor", func() bool { text, _ := w.target(left); return text == "3s" })
+	for _, n := range names[:2] {
+		w.Daemon(n).Kill()
+		assert.NilError(t, w.RemoveDisk(n))
+	}
+	w.eventually("recovered", func() bool {
+		r, err := w.Operator(left).Recover(w.ctx)
+		return err == nil && r.Code == 0
+	})
+	text, _ := w.target(left)
+	assert.Equal(t, text, "3s")
+	b, err := w.setTarget(w.ctx, "c2", a.Version, 4000, left)
+	assert.NilError(t, err)
+	assert.Equal(t, b.Code, 0, b.Detail)
+	assert.NilError(t, w.Start(names[:2]...))
+	for _, n := range names[:2] {
+		w.eventually(n+" votes again", func() bool { return votingDisk(w, left, n) != "" })
+		w.eventually(n+" has the changes", func() bool { text, _ := w.target(n); return text == "4s" })
+	}
+}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -45,8 +45,10 @@
 	ctx  context.Context
 	halt context.CancelFunc
 
-	ctl       *control
-	view      atomic.Pointer[view]
+	ctl  *control
+	view atomic.Pointer[view]
+	// served counts the requests that replicas of this daemon were asked for.
+	served    atomic.Uint64
 	proposer  *proposer
 	conns     *client.Client
 	upstreams *upstream.Client
--- a/io/daemon/dispatch.go
+++ b/io/daemon/dispatch.go
@@ -19,6 +19,11 @@
 	c.stepDispatch(now, dispatch.Arrived{Request: r})
 }
 
+// suspects reports whether a request must run alone.
+func (c *control) suspects(now time.Time, r dispatch.Request) bool {
+	return r.Suspect || c.dispatcher.Verdict(now, r.Digest) == quarantine.Suspect
+}
+
 // cancel tells that the caller of a request is gone.
 func (c *control) cancel(now time.Time, id ident.Request) {
 	delete(c.waiters, id)
--- a/io/daemon/dump.go
+++ b/io/daemon/dump.go
@@ -111,11 +111,6 @@
 	return t, err
 }
 
-// recover is not built yet.
-func (d *Daemon) recover(context.Context) (operator.Answer, error) {
-	return operator.Answer{}, result.New(result.ChangeRefused, "forced recovery is not available in this version")
-}
-
 // count counts an event and whether it failed.
 func (d *Daemon) count(name string, err error) {
 	s := d.metrics.Scope()
--- a/io/daemon/infer.go
+++ b/io/daemon/infer.go
@@ -81,7 +81,7 @@
 		ID: x.ID, Class: x.Class, Model: x.Model, Adapter: x.Adapter,
 		Arrived: x.Arrival, Deadline: deadline,
 		Digest: digestOf(x), Prefix: x.Prompt.HeadDigest(),
-		Idempotent: x.Key == "",
+		Idempotent: x.Key == "", Retried: x.Retried, Suspect: x.Suspect,
 	}, nil
 }
 
@@ -135,6 +135,8 @@
 		}
 		if !result.Lookup(result.CodeOf(err)).NotRun {
 			r.Retried, failed = true, err
+			r.Suspect = r.Suspect || result.CodeOf(err) == result.UpstreamFailed
+			x.Retried, x.Suspect = true, r.Suspect
 		}
 		tried = append(tried, c.Upstream)
 		try++
@@ -223,8 +225,11 @@
 func (d *Daemon) route(ctx context.Context, r dispatch.Request, tried []ident.Upstream) (routing.Choice, error) {
 	var c routing.Choice
 	var ok bool
-	err := d.ctl.call(ctx, func(time.Time) {
-		c, ok = d.ctl.directory.Route(routing.Query{Model: r.Model, Adapter: r.Adapter, DataCentre: d.dataCentre, Exclude: tried})
+	err := d.ctl.call(ctx, func(now time.Time) {
+		c, ok = d.ctl.directory.Route(routing.Query{
+			Model: r.Model, Adapter: r.Adapter, DataCentre: d.dataCentre, Exclude: tried,
+			Digest: r.Digest, Prefix: r.Prefix, Suspect: d.ctl.suspects(now, r),
+		})
 		if ok {
 			d.ctl.directory.Sent(c.Upstream, r.Adapter)
 		}
@@ -247,6 +252,8 @@
 
 // serve runs a request on a replica that this daemon owns.
 func (d *Daemon) serve(ctx context.Context, x caller.Infer, r dispatch.Request) (*caller.Answer, error) {
+	// A hop that went silent may bring the same request twice.
+	r.ID = ident.Request(string(r.ID) + "/" + number(d.served.Add(1)))
 	decisions := make(chan decision, 4)
 	if !d.ctl.post(func(now time.Time) { d.ctl.arrive(now, r, decisions) }) {
 		return nil, result.New(result.Draining, "the daemon stops")
--- a/io/daemon/peers.go
+++ b/io/daemon/peers.go
@@ -131,16 +131,16 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(p.ctx, exchangeTimeout)
 		defer cancel()
-		granted, holder, err := p.client.Permits(ctx, addr, a, released)
+		g, err := p.client.Permits(ctx, addr, a, released)
 		p.post(func(now time.Time) {
 			p.ctl.permits.asking = false
-			p.ctl.noteHolder(to, err == nil && holder)
+			p.ctl.noteHolder(to, err == nil && g.Holder)
 			if err != nil {
 				p.ctl.permits.released = append(p.ctl.permits.released, released...)
 				return
 			}
-			if holder {
-				p.ctl.permitted(now, sent, granted)
+			if g.Holder {
+				p.ctl.permitted(now, sent, g)
 			}
 		})
 	}()
--- a/io/daemon/permits.go
+++ b/io/daemon/permits.go
@@ -7,6 +7,7 @@
 	"papayaspoke/core/coordination/dispatch/budget"
 	"papayaspoke/core/ident"
 	"papayaspoke/core/state"
+	"papayaspoke/io/protocol/peer"
 )
 
 const (
@@ -38,9 +39,6 @@
 
 	// holder is nil unless this daemon leads.
 	holder *budget.Holder
-	// outbox holds permits granted to other daemons since their last
-	// question.
-	outbox map[ident.Daemon][]budget.Permit
 }
 
 // limitsOf returns what the store allows according to the state.
@@ -66,7 +64,9 @@
 	released := p.released
 	p.released = nil
 	if p.holder != nil {
-		c.permitted(now, now, c.holderAsk(now, p.ask, released))
+		if g := c.holderAsk(now, p.ask, released); g.Holder {
+			c.permitted(now, now, g)
+		}
 		return
 	}
 	to := c.holderOrGuess()
@@ -112,38 +112,33 @@
 	c.leader = leader
 }
 
-// holderAsk serves a question at the holder and returns the permits of the
-// owner that asks.
-func (c *control) holderAsk(now time.Time, a budget.Ask, released []budget.PermitID) []budget.Permit {
+// holderAsk serves a question at the holder. A daemon that is not fresh may
+// have been replaced as the holder and grants nothing.
+func (c *control) holderAsk(now time.Time, a budget.Ask, released []budget.PermitID) peer.Grant {
 	h := c.permits.holder
-	for _, id := range released {
-		c.deliver(h.Done(now, id))
+	if h == nil || !now.Before(c.witness.FreshUntil()) {
+		return peer.Grant{}
 	}
-	c.deliver(h.Ask(now, a))
-	out := c.permits.outbox[a.Owner]
-	delete(c.permits.outbox, a.Owner)
-	return out
-}
-
-func (c *control) deliver(ps []budget.Permit) {
-	for _, p := range ps {
-		c.permits.outbox[p.Owner] = append(c.permits.outbox[p.Owner], p)
+	for _, id := range released {
+		h.Release(id)
 	}
+	return peer.Grant{Holder: true, Permits: h.Poll(now, a), Admitted: h.Admit(now)}
 }
 
 // permitted brings the holder's answer to a question sent at the time given.
-func (c *control) permitted(now, sent time.Time, ps []budget.Permit) {
+func (c *control) permitted(now, sent time.Time, g peer.Grant) {
 	p := &c.permits
 	p.heard = now
 	if p.lost {
 		p.lost = false
 		c.stepDispatch(now, dispatch.BudgetFound{})
 	}
-	for i := range ps {
-		ps[i].StartBy = sent.Add(budget.StartWithin)
+	c.stepDispatch(now, dispatch.Admitted{Share: g.Admitted})
+	for i := range g.Permits {
+		g.Permits[i].StartBy = sent.Add(budget.StartWithin)
 	}
-	if len(ps) > 0 {
-		c.stepDispatch(now, dispatch.Granted{Permits: ps})
+	if len(g.Permits) > 0 {
+		c.stepDispatch(now, dispatch.Granted{Permits: g.Permits})
 	}
 }
 
@@ -151,9 +146,6 @@
 // when no holder answers.
 func (c *control) tickPermits(now time.Time) {
 	p := &c.permits
-	if p.holder != nil {
-		c.deliver(p.holder.Tick(now))
-	}
 	if !now.Before(p.nextAsk) {
 		c.askPermits(now)
 	}
@@ -170,10 +162,9 @@
 func (c *control) resetHolder(now time.Time, leads bool, term uint64) {
 	p := &c.permits
 	p.asking = false
-	p.holder, p.outbox = nil, nil
+	p.holder = nil
 	if !leads {
 		return
 	}
 	p.holder = budget.NewHolder(now, limitsOf(c.state.View()), c.owners(), budget.PermitID(term<<32))
-	p.outbox = make(map[ident.Daemon][]budget.Permit)
 }
--- /dev/null
+++ b/io/daemon/recover.go
@@ -0,0 +1,75 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"papayaspoke/core/coordination/consensus"
+	"papayaspoke/core/ident"
+	"papayaspoke/core/result"
+	"papayaspoke/core/state"
+	"papayaspoke/io/protocol/operator"
+)
+
+// recoverTimeout bounds a forced recovery.
+const recoverTimeout = 10 * time.Second
+
+// recover starts a new cluster from this daemon's state, for the case that a
+// majority of the voters' disks is lost. Voters of the old cluster are refused
+// from then on and come back with emptied data folders. What only the lost
+// disks knew is given up, so operators ask the most advanced daemon.
+func (d *Daemon) recover(ctx context.Context) (operator.Answer, error) {
+	if d.ctl.voter == nil {
+		return operator.Answer{}, result.New(result.ChangeRefused, "this daemon has no disk")
+	}
+	ctx, cancel := context.WithTimeout(ctx, recoverTimeout)
+	defer cancel()
+	reply := make(chan answer, 1)
+	refusal := make(chan error, 1)
+	if err := d.ctl.call(ctx, func(now time.Time) { refusal <- d.ctl.recover(now, reply) }); err != nil {
+		return operator.Answer{}, result.New(result.Pending, "%w", err)
+	}
+	if err := <-refusal; err != nil {
+		return operator.Answer{}, err
+	}
+	a := await(ctx, reply)
+	if a.code != result.OK {
+		return operator.Answer{}, result.New(result.ChangeRefused, "the new cluster was not formed, code %d", int(a.code))
+	}
+	set := state.FormWitnesses{Forced: true, Names: d.reachable()}
+	b, err := d.proposer.propose(ctx, set)
+	if err != nil {
+		return operator.Answer{}, err
+	}
+	d.log.Info("forced recovery", "index", a.index, "witnesses", set.Names)
+	return answerOf(b), nil
+}
+
+// recover asks the consensus node for a new cluster. It refuses while the old
+// one has a leader, since then nothing is lost.
+func (c *control) recover(now time.Time, reply chan answer) error {
+	if c.leader != "" {
+		return result.New(result.ChangeRefused, "daemon %s leads: the cluster is not lost", c.leader)
+	}
+	data, err := encodeState(c.state)
+	if err != nil {
+		return err
+	}
+	number := c.proposals.add(&proposal{reply: reply, deadline: now.Add(proposalTimeout)})
+	c.stepVoter(now, consensus.Recover(number, rand.Text(), c.witness.Applied(), c.term, data))
+	return nil
+}
+
+// reachable returns the daemons that answer, at most as many as there may be
+// witnesses.
+func (d *Daemon) reachable() []ident.Daemon {
+	v := d.view.Load()
+	var out []ident.Daemon
+	for _, name := range sortedKeys(v.daemons) {
+		if i := v.daemons[name]; !i.suspected && !i.draining && len(out) < state.MaxWitnesses {
+			out = append(out, name)
+		}
+	}
+	return out
+}
--- a/io/daemon/upstreams.go
+++ b/io/daemon/upstreams.go
@@ -11,6 +11,7 @@
 	"papayaspoke/core/ident"
 	"papayaspoke/core/result"
 	"papayaspoke/io/protocol/caller"
+	"papayaspoke/io/protocol/peer"
 	"papayaspoke/io/protocol/upstream"
 )
 
@@ -162,16 +163,13 @@
 }
 
 // permitsAsked answers an owner's question if this daemon holds the budget.
-func (d *Daemon) permitsAsked(ctx context.Context, a budget.Ask, released []budget.PermitID) ([]budget.Permit, bool) {
-	var ps []budget.Permit
-	holder := false
-	err := d.ctl.call(ctx, func(now time.Time) {
-		if d.ctl.permits.holder != nil {
-			ps, holder = d.ctl.holderAsk(now, a, released), true
-		}
-	})
-	if err != nil {
-		return nil, false
+func (d *Daemon) permitsAsked(ctx context.Context, a budget.Ask, released []budget.PermitID) peer.Grant {
+	answers := make(chan peer.Grant, 1)
+	d.ctl.post(func(now time.Time) { answers <- d.ctl.holderAsk(now, a, released) })
+	select {
+	case g := <-answers:
+		return g
+	case <-ctx.Done():
+		return peer.Grant{}
 	}
-	return ps, holder
 }
--- a/io/protocol/caller/decode.go
+++ b/io/protocol/caller/decode.go
@@ -135,6 +135,7 @@
 	m.ID = ident.Request(h.Get(RequestHeader))
 	m.Hop = ident.Daemon(h.Get(HopHeader))
 	m.Attempt = ident.Attempt(h.Get(AttemptHeader))
+	m.Retried, m.Suspect = h.Get(RetriedHeader) != "", h.Get(SuspectHeader) != ""
 	if m.ID == "" || m.Hop == "" {
 		return Meta{}, result.New(result.Malformed, "%s and %s are required between daemons", RequestHeader, HopHeader)
 	}
--- a/io/protocol/caller/forward.go
+++ b/io/protocol/caller/forward.go
@@ -152,6 +152,8 @@
 	if f.self != "" {
 		set(RequestHeader, string(m.ID))
 		set(HopHeader, string(f.self))
+		set(RetriedHeader, flag(m.Retried))
+		set(SuspectHeader, flag(m.Suspect))
 		set(AttemptHeader, string(m.Attempt))
 		set("Authorization", "Bearer "+f.token)
 	}
@@ -232,3 +234,11 @@
 	b, err := json.Marshal(body)
 	return path, b, err
 }
+
+// flag is the value of a header that is present only if v is true.
+func flag(v bool) string {
+	if v {
+		return "1"
+	}
+	return ""
+}
--- a/io/protocol/caller/handler.go
+++ b/io/protocol/caller/handler.go
@@ -216,6 +216,7 @@
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
 	"Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Expect", "Accept-Encoding",
 	ClassHeader, AdapterHeader, DeadlineHeader, HopHeader, AttemptHeader, RequestHeader, UpstreamHeader,
+	RetriedHeader, SuspectHeader,
 	wire.ResultHeader, server.StatusHeader,
 }
 
--- a/io/protocol/caller/request.go
+++ b/io/protocol/caller/request.go
@@ -22,6 +22,10 @@
 	DeadlineHeader = "Papayaspoke-Deadline"
 	// RequestHeader is the request's id, given in every answer.
 	RequestHeader = "Papayaspoke-Request"
+	// RetriedHeader and SuspectHeader tell an owner what became of a request
+	// at another one.
+	RetriedHeader = "Papayaspoke-Retried"
+	SuspectHeader = "Papayaspoke-Suspect"
 	// HopHeader names the daemon that passed the request on.
 	HopHeader = "Papayaspoke-Hop"
 	// AttemptHeader names the daemon's attempt at a request with a key.
@@ -47,6 +51,9 @@
 	// Hop is the daemon that passed the request on, empty if it came from a
 	// caller. A request with a hop must not be passed on.
 	Hop ident.Daemon
+	// Retried is true if the request may have run at another owner already,
+	// Suspect if an upstream crashed meanwhile. Only daemons set them.
+	Retried, Suspect bool
 }
 
 // Infer is a request for text from a model.
--- a/io/protocol/peer/budget.go
+++ b/io/protocol/peer/budget.go
@@ -8,10 +8,21 @@
 	"papayaspoke/io/protocol/peer/peerpb"
 )
 
+// Grant is what the holder of the load budget answers an owner.
+type Grant struct {
+	// Holder is false if the daemon that was asked does not hold the budget;
+	// the rest is then empty.
+	Holder bool
+	// Permits are those of the owner that asked.
+	Permits []budget.Permit
+	// Admitted is the share of misses that the budget can serve, from 0 to 1.
+	Admitted float64
+}
+
 // Times travel as milliseconds from now, since the clocks of daemons differ.
 
 func permitsRequestToWire(a budget.Ask, released []budget.PermitID, now time.Time) *peerpb.PermitsRequest {
-	out := &peerpb.PermitsRequest{Owner: string(a.Owner), Fallback: a.Fallback, Loading: int64(a.Loading)}
+	out := &peerpb.PermitsRequest{Owner: string(a.Owner), Fallback: a.Fallback, Loading: int64(a.Loading), Misses: a.Misses}
 	for _, w := range a.Wants {
 		out.Wants = append(out.Wants, &peerpb.Want{
 			Upstream: string(w.Upstream), Adapter: w.Adapter.Name, Version: w.Adapter.Version,
@@ -26,7 +37,7 @@
 
 func permitsRequestFromWire(r *peerpb.PermitsRequest) (budget.Ask, []budget.PermitID) {
 	now := time.Now()
-	a := budget.Ask{Owner: ident.Daemon(r.GetOwner()), Fallback: r.GetFallback(), Loading: int(r.GetLoading())}
+	a := budget.Ask{Owner: ident.Daemon(r.GetOwner()), Fallback: r.GetFallback(), Loading: int(r.GetLoading()), Misses: r.GetMisses()}
 	for _, w := range r.GetWants() {
 		a.Wants = append(a.Wants, budget.Want{
 			Upstream: ident.Upstream(w.GetUpstream()),
@@ -44,9 +55,9 @@
 
 // permitsResponseToWire leaves out when a permit has to be used: the owner
 // counts that from when it asked.
-func permitsResponseToWire(ps []budget.Permit, holder bool) *peerpb.PermitsResponse {
-	out := &peerpb.PermitsResponse{Holder: holder}
-	for _, p := range ps {
+func permitsResponseToWire(g Grant) *peerpb.PermitsResponse {
+	out := &peerpb.PermitsResponse{Holder: g.Holder, Admitted: g.Admitted}
+	for _, p := range g.Permits {
 		out.Permits = append(out.Permits, &peerpb.Permit{
 			Id: uint64(p.ID), Upstream: string(p.Upstream), Adapter: p.Adapter.Name, Version: p.Adapter.Version,
 		})
@@ -54,10 +65,10 @@
 	return out
 }
 
-func permitsResponseFromWire(r *peerpb.PermitsResponse, owner ident.Daemon) []budget.Permit {
-	var out []budget.Permit
+func permitsResponseFromWire(r *peerpb.PermitsResponse, owner ident.Daemon) Grant {
+	out := Grant{Holder: r.GetHolder(), Admitted: r.GetAdmitted()}
 	for _, p := range r.GetPermits() {
-		out = append(out, budget.Permit{
+		out.Permits = append(out.Permits, budget.Permit{
 			ID: budget.PermitID(p.GetId()), Owner: owner, Upstream: ident.Upstream(p.GetUpstream()),
 			Adapter: ident.Adapter{Name: p.GetAdapter(), Version: p.GetVersion()},
 		})
--- a/io/protocol/peer/service.go
+++ b/io/protocol/peer/service.go
@@ -41,9 +41,8 @@
 	Gossip func(ctx context.Context, r membership.Request) (membership.Response, error)
 	// Propose commits a command if this daemon leads.
 	Propose func(ctx context.Context, command []byte) Proposed
-	// Permits answers an owner's question if this daemon holds the load
-	// budget.
-	Permits func(ctx context.Context, a budget.Ask, released []budget.PermitID) (permits []budget.Permit, holder bool)
+	// Permits answers an owner's question to the holder of the load budget.
+	Permits func(ctx context.Context, a budget.Ask, released []budget.PermitID) Grant
 }
 
 // NewHandler serves s to daemons that present the token.
@@ -111,8 +110,7 @@
 
 func (h service) Permits(ctx context.Context, r *connect.Request[peerpb.PermitsRequest]) (*connect.Response[peerpb.PermitsResponse], error) {
 	ask, released := permitsRequestFromWire(r.Msg)
-	permits, holder := h.s.Permits(ctx, ask, released)
-	return connect.NewResponse(permitsResponseToWire(permits, holder)), nil
+	return connect.NewResponse(permitsResponseToWire(h.s.Permits(ctx, ask, released))), nil
 }
 
 func malformed(err error) error { return connect.NewError(connect.CodeInvalidArgument, err) }
--- a/io/protocol/peer/statecommand.go
+++ b/io/protocol/peer/statecommand.go
@@ -114,7 +114,7 @@
 		}}}, nil
 	case state.FormWitnesses:
 		return &peerpb.Command{Kind: &peerpb.Command_FormWitnesses{FormWitnesses: &peerpb.FormWitnesses{
-			Names: namesToWire(c.Names),
+			Names: namesToWire(c.Names), Forced: c.Forced,
 		}}}, nil
 	case state.Orphan:
 		return &peerpb.Command{Kind: &peerpb.Command_Orphan{Orphan: &peerpb.Orphan{
@@ -227,7 +227,9 @@
 			Attempt: ident.Attempt(k.Unknown.GetAttempt()),
 		}, nil
 	case *peerpb.Command_FormWitnesses:
-		return state.FormWitnesses{Names: namesFromWire(k.FormWitnesses.GetNames())}, nil
+		return state.FormWitnesses{
+			Names: namesFromWire(k.FormWitnesses.GetNames()), Forced: k.FormWitnesses.GetForced(),
+		}, nil
 	case *peerpb.Command_Orphan:
 		return state.Orphan{
 			Owner:       ident.Daemon(k.Orphan.GetOwner()),
--- a/io/terminal/terminal.go
+++ b/io/terminal/terminal.go
@@ -44,6 +44,7 @@
 type session struct {
 	opts   *options
 	client *operator.Client
+	token  string
 	cmd    command
 	out    io.Writer
 }
@@ -86,7 +87,8 @@
 		return fail(errOut, result.New(result.WrongToken, "--token: %w", err))
 	}
 	s := &session{opts: opts, cmd: cmd, out: out}
-	s.client = operator.NewClient(opts.operators, strings.TrimSpace(string(token)))
+	s.token = strings.TrimSpace(string(token))
+	s.client = operator.NewClient(opts.operators, s.token)
 	if err := s.run(); err != nil {
 		return fail(errOut, err)
 	}
@@ -260,7 +262,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
 	defer cancel()
-	a, err := s.client.Recover(ctx)
+	addr, err := s.mostAdvanced(ctx)
+	if err != nil {
+		return err
+	}
+	a, err := operator.NewClient([]string{addr}, s.token).Recover(ctx)
 	if err != nil {
 		return err
 	}
@@ -270,3 +276,26 @@
 	fmt.Fprintln(s.out, "a new cluster starts from the state at index", a.Index)
 	return nil
 }
+
+// mostAdvanced returns the address of the daemon with a disk whose state is
+// the newest among those given.
+func (s *session) mostAdvanced(ctx context.Context) (string, error) {
+	best, found := "", uint64(0)
+	for _, addr := range s.opts.operators {
+		raw, err := operator.NewClient([]string{addr}, s.token).Get(ctx, "/v1/state")
+		if err != nil {
+			continue
+		}
+		var d struct {
+			Role    string `json:"role"`
+			Applied uint64 `json:"applied"`
+		}
+		if json.Unmarshal(raw, &d) == nil && d.Role != "" && (best == "" || d.Applied > found) {
+			best, found = addr, d.Applied
+		}
+	}
+	if best == "" {
+		return "", result.New(result.Unreachable, "no daemon with a disk answers at the addresses given")
+	}
+	return best, nil
+}
