--- a/io/daemon/witness.go
+++ b/io/daemon/witness.go
@@ -60,13 +60,16 @@
 // apply carries out committed entries in order.
 func (c *control) apply(now time.Time, entries []entry.Entry) {
 	for _, e := range entries {
-		c.applyOne(now, e)
+		if !c.applyOne(now, e) {
+			return
+		}
 	}
 	c.applied(now, entries[len(entries)-1].Index)
 }
 
-func (c *control) applyOne(now time.Time, e entry.Entry) {
-	c.term = e.Term
+// applyOne returns false if the entry can't be read; the daemon then ends
+// without having said that it applied it.
+func (c *control) applyOne(now time.Time, e entry.Entry) bool {
 	var cmd state.Command
 	if e.Kind == entry.Command {
 		var err error
@@ -75,12 +78,14 @@
 			// drift apart, so the daemon stops taking part.
 			c.log.Error(err, "committed command can't be read", "index", e.Index)
 			c.supersede()
-			return
+			return false
 		}
 	}
+	c.term = e.Term
 	o := c.state.Apply(e.Index, cmd)
 	c.proposals.applied(e.Index, o)
 	c.noteQuarantine(now, cmd)
+	return true
 }
 
 func (c *control) install(now time.Time, s witness.Snapshot) {
