Routing tables are made once a tick, and views share them

Change: a report marks the tables as out of date; the next tick of 25 ms makes them, and so does a change of ownership. Views share the tables. Ruled out for now: a persistent map with only the changed row (more code).

--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -53,6 +53,11 @@
 	members *membership.Membership
 	// daemons are the names that membership knows, sorted.
 	daemons []ident.Daemon
+	// membersDirty is true if membership has changed since the tables were
+	// made. The tables are shared with views and never changed.
+	membersDirty  bool
+	daemonTable   map[ident.Daemon]daemonInfo
+	upstreamTable map[ident.Upstream]upstreamInfo
 	// known are the upstreams that the routing tables know.
 	known     map[ident.Upstream]bool
 	directory *routing.Directory
--- a/io/daemon/members.go
+++ b/io/daemon/members.go
@@ -41,7 +41,9 @@
 		case membership.ProbeFresh:
 			c.send.probe(e.Daemon, e.Address)
 		case membership.Changed:
-			c.membersChanged(now)
+			// Reports come by the hundred a second; what follows from them
+			// waits for the next tick.
+			c.membersDirty = true
 		case membership.Superseded:
 			c.log.Info("superseded by a later process of the same name", "incarnation", uint64(e.By))
 			c.supersede()
@@ -60,10 +62,19 @@
 	})
 }
 
-// membersChanged tells the other parts who is there.
+// membersChanged tells the other parts who is there, and makes the tables of
+// the next views. Views share them until members change again.
 func (c *control) membersChanged(now time.Time) {
 	c.dirty = true
+	c.membersDirty = false
 	daemons := c.members.Daemons()
+	c.daemonTable = make(map[ident.Daemon]daemonInfo, len(daemons))
+	for _, m := range daemons {
+		c.daemonTable[m.Name] = daemonInfo{
+			caller: m.Caller, peer: m.Peer, dataCentre: m.DataCentre, draining: m.Draining,
+			suspected: c.members.Unreachable(m.Name), disk: m.Disk != "",
+		}
+	}
 	names := make([]ident.Daemon, 0, len(daemons))
 	for _, d := range daemons {
 		names = append(names, d.Name)
@@ -89,22 +100,32 @@
 
 // upstreamsChanged brings the routing tables up to date.
 func (c *control) upstreamsChanged(now time.Time) {
-	seen := make(map[ident.Upstream]bool)
-	for _, u := range c.members.Upstreams() {
-		seen[u.Name] = true
+	upstreams := c.members.Upstreams()
+	c.upstreamTable = make(map[ident.Upstream]upstreamInfo, len(upstreams))
+	gone := c.known
+	c.known = make(map[ident.Upstream]bool, len(upstreams))
+	for _, u := range upstreams {
+		c.known[u.Name] = true
+		delete(gone, u.Name)
+		c.upstreamTable[u.Name] = infoOf(u)
 		if u.Kind == membership.PlainService {
 			c.services.Put(routing.ServiceReplica{Upstream: u.Name, Service: u.Service, DataCentre: u.DataCentre, Closed: u.Leaving})
 			continue
 		}
 		c.replicaChanged(now, u)
 	}
-	for name := range c.known {
-		if !seen[name] {
-			c.services.Remove(name)
-			c.directory.Remove(name)
-		}
+	for name := range gone {
+		c.services.Remove(name)
+		c.directory.Remove(name)
+	}
+}
+
+func infoOf(u membership.Upstream) upstreamInfo {
+	return upstreamInfo{
+		incarnation: u.Version.Incarnation, model: u.Model, service: u.Service, address: u.Address,
+		dataCentre: u.DataCentre, honours: u.HonoursFence, resumes: u.Resumes, leaving: u.Leaving,
+		idempotent: u.IdempotentPaths,
 	}
-	c.known = seen
 }
 
 // replicaChanged updates the directory from what an engine says of itself,
--- a/io/daemon/owner.go
+++ b/io/daemon/owner.go
@@ -119,7 +119,7 @@
 	delete(c.anchors, name)
 	c.dirty = true
 	c.stepDispatch(now, dispatch.Released{Upstream: name})
-	c.upstreamsChanged(now)
+	c.membersDirty = true
 }
 
 // ownedChanged brings what an owned engine says of itself to the dispatcher.
--- a/io/daemon/tick.go
+++ b/io/daemon/tick.go
@@ -26,6 +26,9 @@
 	c.stepDispatch(now, dispatch.Tick{})
 	c.tickPermits(now)
 	c.view = c.state.View()
+	if c.membersDirty {
+		c.membersChanged(now)
+	}
 	c.stepOwnership(now)
 	c.tickOwned(now)
 	c.ensureWitnesses(now)
@@ -95,21 +98,7 @@
 	v := &view{
 		state: c.view, freshUntil: c.witness.FreshUntil(), visible: c.witness.Visible(), leader: c.leader,
 		gates: c.holder.Gates(), draining: c.draining,
-		daemons:   make(map[ident.Daemon]daemonInfo),
-		upstreams: make(map[ident.Upstream]upstreamInfo),
-	}
-	for _, m := range c.members.Daemons() {
-		v.daemons[m.Name] = daemonInfo{
-			caller: m.Caller, peer: m.Peer, dataCentre: m.DataCentre, draining: m.Draining,
-			suspected: c.members.Unreachable(m.Name), disk: m.Disk != "",
-		}
-	}
-	for _, u := range c.members.Upstreams() {
-		v.upstreams[u.Name] = upstreamInfo{
-			incarnation: u.Version.Incarnation, model: u.Model, service: u.Service, address: u.Address,
-			dataCentre: u.DataCentre, honours: u.HonoursFence, resumes: u.Resumes, leaving: u.Leaving,
-			idempotent: u.IdempotentPaths,
-		}
+		daemons: c.daemonTable, upstreams: c.upstreamTable,
 	}
 	d.view.Store(v)
 	for _, f := range c.afterPublish {
--- a/io/daemon/witness.go
+++ b/io/daemon/witness.go
@@ -85,9 +85,18 @@
 	o := c.state.Apply(e.Index, cmd)
 	c.proposals.applied(e.Index, o)
 	c.noteQuarantine(now, cmd)
+	c.noteOwner(cmd)
 	return true
 }
 
+// noteOwner has the routing tables made anew after an ownership has changed.
+func (c *control) noteOwner(cmd state.Command) {
+	switch cmd.(type) {
+	case state.Assign, state.Revoke, state.Yield, state.Release:
+		c.membersDirty = true
+	}
+}
+
 func (c *control) install(now time.Time, s witness.Snapshot) {
 	st, err := decodeState(s.Data)
 	if err != nil {
@@ -96,6 +105,7 @@
 		return
 	}
 	c.state, c.term = st, s.Term
+	c.membersDirty = true
 	c.restoreQuarantine(now)
 	c.applied(now, s.Index)
 }
