--- a/io/daemon/peers.go
+++ b/io/daemon/peers.go
@@ -19,6 +19,10 @@
 const (
 	// exchangeTimeout bounds the small exchanges between daemons.
 	exchangeTimeout = time.Second
+	// consensusTimeout bounds a delivery of consensus messages. It is less
+	// than an election timeout, so that one silent connection does not cause
+	// an election: what it swallowed goes again over another.
+	consensusTimeout = 300 * time.Millisecond
 	// snapshotTimeout bounds exchanges that may carry a snapshot.
 	snapshotTimeout = 10 * time.Second
 	// consensusQueue is how many messages may wait for one voter; more are
@@ -78,7 +82,7 @@
 	if !ok {
 		return
 	}
-	timeout := exchangeTimeout
+	timeout := consensusTimeout
 	for _, m := range batch {
 		if m.Kind == consensus.Install {
 			timeout = snapshotTimeout
