--- a/io/terminal/terminal_test.go
+++ b/io/terminal/terminal_test.go
@@ -43,7 +43,9 @@
 			}
 			return operator.Table{Index: 3, Columns: []string{"class", "target"}, Rows: [][]string{{"urgent", "2s"}}}, nil
 		},
-		Dump:    func(context.Context) (any, error) { return map[string]string{"daemon": "piraeus-1", "role": "follower"}, nil },
+		Dump: func(context.Context) (any, error) {
+			return map[string]string{"daemon": "piraeus-1", "role": "follower"}, nil
+		},
 		Recover: func(context.Context) (operator.Answer, error) { return operator.Answer{Index: 41}, nil },
 	}
 	f.Server = httptest.NewServer(handler)
