The last answer of a change is told; a test's precondition is checked

Cause: a change without a majority ended as 'address cannot be reached' after 15 s, hiding that it was pending or that no leader was found. And TestRefusalAfterALostAnswerPromisesNothing failed now and then (2 of 10 runs): the pool may drop the connection whose reuse the test is about. Ruled out: weakening the assertion; it is the same, once the case holds.

--- a/io/protocol/operator/client.go
+++ b/io/protocol/operator/client.go
@@ -118,14 +118,22 @@
 // Settle sends a change again, under its one id, until it is accepted or
 // refused or the context ends. Then it returns the last answer or error.
 func Settle(ctx context.Context, c *Client, ch Change) (Answer, error) {
+	var last Answer
+	answered := false
 	for {
 		a, err := c.Change(ctx, ch)
 		code := result.Code(a.Code)
 		if err == nil && code != result.Pending && code != result.NoLeader {
 			return a, nil
 		}
+		if err == nil {
+			last, answered = a, true
+		}
 		select {
 		case <-ctx.Done():
+			if answered {
+				return last, nil
+			}
 			return a, err
 		case <-time.After(resendPause):
 		}
--- a/io/protocol/upstream/stream_test.go
+++ b/io/protocol/upstream/stream_test.go
@@ -196,6 +196,23 @@
 }
 
 func TestRefusalAfterALostAnswerPromisesNothing(t *testing.T) {
+	// The pool may drop the first connection; then the second request takes a
+	// new one, which is not the case to be tested.
+	for range 20 {
+		calls, err := refuseAfterLostAnswer(t)
+		if calls == 3 {
+			assert.Equal(t, result.CodeOf(err), result.UpstreamFailed, "%v", err)
+			return
+		}
+		assert.Equal(t, calls, int64(2))
+	}
+	t.Fatal("the pooled connection was never used again")
+}
+
+// refuseAfterLostAnswer sends a request over a pooled connection that goes
+// silent when the engine has taken it; the engine refuses it the next time.
+func refuseAfterLostAnswer(t *testing.T) (int64, error) {
+	t.Helper()
 	var r *relay.Relay
 	var calls atomic.Int64
 	e := &upstream.Engine{
@@ -225,8 +242,7 @@
 	assert.NilError(t, err)
 	assert.NilError(t, s.Close())
 	_, err = c.Generate(t.Context(), r.Addr(), ask())
-	assert.Equal(t, result.CodeOf(err), result.UpstreamFailed, "%v", err)
-	assert.Equal(t, calls.Load(), int64(3))
+	return calls.Load(), err
 }
 
 func TestClosedStreamStopsTheEngine(t *testing.T) {
