Metrics of requests by result, answers' times and the state alarms look at

Change: requests by kind and result number, a histogram of the time until an answer begins, gauges of freshness, indices, queues, owned replicas and the ledger, once a second.

--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -94,6 +94,9 @@
 	orders orders
 	// publish swaps the view that traffic goroutines read.
 	publish func(c *control)
+	// gauge shows the state that alarms look at, and gaugeAt is when next.
+	gauge   func(c *control, now time.Time)
+	gaugeAt time.Time
 	// supersede ends the process.
 	supersede func()
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -127,6 +127,7 @@
 		services:      routing.NewServices(d.dataCentre),
 		holder:        ownership.NewHolder(d.self, d.inc),
 		publish:       d.publish,
+		gauge:         d.gauge,
 		supersede:     d.halt,
 		orders:        newOrders(d),
 	}
@@ -184,7 +185,7 @@
 func (d *Daemon) listen() error {
 	opts := server.Options{Log: d.log, Refuse: wire.Refuse}
 	var err error
-	front := &caller.Handler{Infer: d.infer, Call: d.call, Addresses: d.addresses}
+	front := &caller.Handler{Infer: d.meteredInfer, Call: d.meteredCall, Addresses: d.addresses}
 	if d.callers, err = server.Listen(d.settings.Caller().String(), d.withUpstreams(front), opts); err != nil {
 		return err
 	}
--- a/io/daemon/dump.go
+++ b/io/daemon/dump.go
@@ -110,12 +110,3 @@
 	})
 	return t, err
 }
-
-// count counts an event and whether it failed.
-func (d *Daemon) count(name string, err error) {
-	s := d.metrics.Scope()
-	s.Counter(name).Inc(1)
-	if err != nil {
-		s.Counter(name + "_failed").Inc(1)
-	}
-}
--- /dev/null
+++ b/io/daemon/meter.go
@@ -0,0 +1,77 @@
+package daemon
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	tally "github.com/uber-go/tally/v4"
+	"papayaspoke/core/result"
+	"papayaspoke/io/protocol/caller"
+)
+
+// answerBuckets are the bounds of the histograms of how long answers take to
+// begin.
+var answerBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 14)
+
+// count counts an event and whether it failed.
+func (d *Daemon) count(name string, err error) {
+	s := d.metrics.Scope()
+	s.Counter(name).Inc(1)
+	if err != nil {
+		s.Counter(name + "_failed").Inc(1)
+	}
+}
+
+// meter counts requests by result number and times those that are answered.
+func (d *Daemon) meter(kind string, begun time.Time, err error) {
+	s := d.metrics.Scope().Tagged(map[string]string{"kind": kind})
+	code := strconv.Itoa(int(result.CodeOf(err)))
+	s.Tagged(map[string]string{"result": code}).Counter("requests").Inc(1)
+	if err == nil {
+		s.Histogram("answer", answerBuckets).RecordDuration(d.clock().Sub(begun))
+	}
+}
+
+// meteredInfer is infer with its metrics; an answer counts from when it
+// begins.
+func (d *Daemon) meteredInfer(ctx context.Context, x caller.Infer) (*caller.Answer, error) {
+	begun := d.clock()
+	a, err := d.infer(ctx, x)
+	d.meter("text", begun, err)
+	return a, err
+}
+
+// meteredCall is call with its metrics.
+func (d *Daemon) meteredCall(ctx context.Context, x caller.Call) (*caller.Reply, error) {
+	begun := d.clock()
+	r, err := d.call(ctx, x)
+	d.meter("call", begun, err)
+	return r, err
+}
+
+// gauge shows the state that alarms look at.
+func (d *Daemon) gauge(c *control, now time.Time) {
+	s := d.metrics.Scope()
+	for name, v := range map[string]float64{
+		"fresh":       flag(now.Before(c.witness.FreshUntil())),
+		"applied":     float64(c.witness.Applied()),
+		"visible":     float64(c.witness.Visible()),
+		"waiting":     float64(c.dispatcher.Waiting()),
+		"requests_in": float64(c.dispatcher.Len()),
+		"owned":       float64(len(c.owned)),
+		"daemons":     float64(len(c.daemonTable)),
+		"upstreams":   float64(len(c.upstreamTable)),
+		"ledger":      float64(c.view.CountEntries()),
+		"fallback":    flag(c.permits.lost),
+	} {
+		s.Gauge(name).Update(v)
+	}
+}
+
+func flag(v bool) float64 {
+	if v {
+		return 1
+	}
+	return 0
+}
--- a/io/daemon/tick.go
+++ b/io/daemon/tick.go
@@ -34,12 +34,19 @@
 	c.ensureWitnesses(now)
 	c.keepLedger(now)
 	c.proposals.expire(now)
+	if !now.Before(c.gaugeAt) {
+		c.gaugeAt = now.Add(gaugeInterval)
+		c.gauge(c, now)
+	}
 	if c.announcedAt.Before(now.Add(-announceInterval)) {
 		c.announcedAt = now
 		c.announce(now)
 	}
 }
 
+// gaugeInterval is how often the gauges are brought up to date.
+const gaugeInterval = time.Second
+
 // announceInterval is how often the directory learns of owned replicas.
 const announceInterval = 100 * time.Millisecond
 
