Test processes have groups of their own

The kernel sends SIGHUP and SIGCONT to the stopped members of a process group that becomes orphaned; the daemon's log has lines of the second at which it did. Ruled out: the takeover itself (the log shows the interim owner, fence 15). Change: each process is started in a group of its own.

--- a/io/standin/cluster/process.go
+++ b/io/standin/cluster/process.go
@@ -24,8 +24,10 @@
 	}
 	cmd := exec.Command(program, args...)
 	cmd.Stdout, cmd.Stderr = log, log
-	// A test that dies must not leave processes behind.
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	// A test that dies must not leave processes behind. Each has a group of its
+	// own, because the kernel wakes the frozen ones of a group whose session
+	// leader ends.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	if err := cmd.Start(); err != nil {
 		_ = log.Close()
 		return nil, fmt.Errorf("start %s: %w", name, err)
