One bound for a proposal

Two constants of one value stood for the wait of a commit and of the visible quorum; the later replaced the former. Found in the read-through; no behaviour changes.

--- a/io/daemon/peers.go
+++ b/io/daemon/peers.go
@@ -156,7 +156,7 @@
 	if !ok {
 		return answer{code: result.NoLeader}
 	}
-	ctx, cancel := context.WithTimeout(ctx, visibleTimeout+exchangeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, proposalTimeout+exchangeTimeout)
 	defer cancel()
 	r, err := p.client.Propose(ctx, addr, data)
 	if err != nil {
--- a/io/daemon/proposals.go
+++ b/io/daemon/proposals.go
@@ -9,13 +9,10 @@
 	"papayaspoke/core/state"
 )
 
-const (
-	// visibleTimeout is how long the leader waits for a durable change to
-	// become visible before it answers "pending".
-	visibleTimeout = 3 * time.Second
-	// proposalTimeout is how long the leader waits for a commit.
-	proposalTimeout = 3 * time.Second
-)
+// proposalTimeout is how long the leader waits for a command to be committed
+// and, where that counts, to become visible; a change that is only durable by
+// then is answered as pending.
+const proposalTimeout = 3 * time.Second
 
 // answer is what became of a proposal.
 type answer struct {
--- a/io/daemon/voter.go
+++ b/io/daemon/voter.go
@@ -91,9 +91,6 @@
 		return reply
 	}
 	p := &proposal{reply: reply, visible: waitsVisible(cmd), deadline: now.Add(proposalTimeout)}
-	if p.visible {
-		p.deadline = now.Add(visibleTimeout)
-	}
 	c.stepVoter(now, consensus.Propose(c.proposals.add(p), data))
 	return reply
 }
