--- a/cmd/papayaspoked/main.go
+++ b/cmd/papayaspoked/main.go
@@ -16,6 +16,7 @@
 	"papayaspoke/io/logs"
 	"papayaspoke/io/settings"
 	"papayaspoke/io/terminal/cmdline"
+	"papayaspoke/platform"
 )
 
 func main() {
@@ -23,7 +24,7 @@
 }
 
 func run(args []string) int {
-	path := "papayaspoked.toml"
+	path := platform.SettingsPath("papayaspoked.toml")
 	p := flaggy.NewParser("papayaspoked")
 	p.Description = "Daemon of papayaspoke."
 	p.AdditionalHelpAppend = "\nExample: papayaspoked run --settings /etc/papayaspoke/papayaspoked.toml"
@@ -62,18 +63,30 @@
 const stopTimeout = 10 * time.Minute
 
 func start(s settings.Settings) int {
-	log := logs.New(os.Stderr, s.Level()).WithValues("daemon", s.Name())
+	log := logs.New(os.Stdout, s.Level()).WithValues("daemon", s.Name())
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	d, err := daemon.New(s, log)
+	d, err := daemon.New(s, log, platform.Dialect())
 	if err != nil {
 		return fail(err)
 	}
+	if p := d.Platform(); p != nil {
+		if err := platform.Serve(p); err != nil {
+			return fail(err)
+		}
+	}
 	select {
 	case <-stop.Done():
 	case <-d.Done():
 		return fail(result.New(result.Internal, "the daemon ended by itself, see the log"))
 	}
+	if p := d.Platform(); p != nil {
+		log.Info("stopping")
+		ctx, end := context.WithTimeout(context.Background(), s.Platform().Grace()*15/16)
+		defer end()
+		p.Drain(ctx)
+		return 0
+	}
 	ctx, end := context.WithTimeout(context.Background(), stopTimeout)
 	defer end()
 	if err := d.Shutdown(ctx); err != nil {
--- /dev/null
+++ b/core/coordination/balance/balance.go
@@ -0,0 +1,387 @@
+package balance
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"papayaspoke/core/coordination/placement"
+	"papayaspoke/core/ident"
+)
+
+const (
+	// awayPenalty is how many requests in flight a replica in another data
+	// centre seems to have in addition, for a batch of 64. A request's bytes
+	// between data centres cost about a hundredth of what it earns.
+	awayPenalty = 6.0 / 64
+	// ejectFirst and ejectMost bound how long a replica whose connections fail
+	// is left out.
+	ejectFirst = 500 * time.Millisecond
+	ejectMost  = 8 * time.Second
+	// faultWindow is how long failed answers count against a replica, and
+	// maxFaults how many of them, without an answer in between that was good,
+	// take it out.
+	faultWindow = 3 * time.Second
+	maxFaults   = 3
+	// slowFactor is how many times the mean of the others a replica of a plain
+	// service takes before it counts as slow.
+	slowFactor = 3
+	// smoothing is the weight of a new duration in the mean.
+	smoothing = 0.2
+)
+
+// Replica is a replica that requests can be sent to.
+type Replica struct {
+	Name        ident.Upstream
+	Incarnation ident.Incarnation
+	Service     ident.Service
+	Address     string
+	DataCentre  ident.DataCentre
+	// Slots is how many requests it processes at a time; at least 1.
+	Slots   int
+	Leaving bool
+}
+
+// Query is what a request needs.
+type Query struct {
+	Service ident.Service
+	// Weights is zero for a service that runs no models.
+	Weights placement.Weights
+	// Version is the least version of an adapter that will do.
+	Version uint64
+	// Exclude names replicas that were tried already.
+	Exclude []ident.Upstream
+	// Most bounds what this daemon has in flight at one replica; 0 for no
+	// bound.
+	Most int
+}
+
+// Choice is where a request is sent.
+type Choice struct {
+	Replica Replica
+	Weights placement.Weights
+	// Version is the version of the weights there, 0 if it is not known.
+	Version uint64
+	// Load is what the choice rested on: the requests in flight there, by the
+	// newest knowledge, which is that of LoadAt.
+	Load   int
+	LoadAt time.Time
+}
+
+// Miss tells why there is no choice.
+type Miss uint8
+
+const (
+	// Found means that there is a choice.
+	Found Miss = iota
+	// Coming means that a replica is about to hold what is needed.
+	Coming
+	// Absent means that no replica holds what is needed.
+	Absent
+	// Crowded means that every replica has as much in flight as this daemon
+	// may have there.
+	Crowded
+	// Nobody means that the service has no replica that takes work.
+	Nobody
+)
+
+var missNames = [...]string{"found", "coming", "absent", "crowded", "nobody"}
+
+// String returns a word for logs.
+func (m Miss) String() string { return missNames[m] }
+
+// peer is what is known of one replica.
+type peer struct {
+	Replica
+	// running counts this daemon's requests in flight, by weights.
+	running map[placement.Weights]int
+	started map[placement.Weights]int
+	own     int
+	// others counts those of other daemons, as of the last answer.
+	others int
+	// holdings is what it holds, as the placer believes.
+	holdings map[placement.Weights]placement.Holding
+	// ejectedUntil is until when it is left out, and ejections how often in a
+	// row.
+	ejectedUntil time.Time
+	ejections    int
+	faults       int
+	faultAt      time.Time
+	// mean is the mean duration of good answers, 0 if there was none.
+	mean time.Duration
+}
+
+// Balancer knows the replicas. It is not safe for concurrent use.
+type Balancer struct {
+	centre ident.DataCentre
+	peers  map[ident.Upstream]*peer
+	// services holds the names of each service's replicas, sorted.
+	services map[ident.Service][]ident.Upstream
+	boards   map[ident.Upstream]placement.Board
+	fence    ident.Fence
+	revision uint64
+	// heardAt is when the placer answered last.
+	heardAt time.Time
+	// told is what this daemon had in flight when it last asked the placer.
+	told map[ident.Upstream]int
+}
+
+// New returns a balancer for a daemon in a data centre.
+func New(centre ident.DataCentre) *Balancer {
+	return &Balancer{
+		centre: centre, peers: make(map[ident.Upstream]*peer),
+		services: make(map[ident.Service][]ident.Upstream),
+		boards:   make(map[ident.Upstream]placement.Board),
+	}
+}
+
+// SetReplicas tells which replicas there are.
+func (b *Balancer) SetReplicas(rs []Replica) {
+	gone := maps.Clone(b.peers)
+	b.services = make(map[ident.Service][]ident.Upstream)
+	for _, r := range rs {
+		delete(gone, r.Name)
+		p := b.peers[r.Name]
+		if p == nil || p.Incarnation != r.Incarnation {
+			p = &peer{running: make(map[placement.Weights]int), started: make(map[placement.Weights]int)}
+			b.peers[r.Name] = p
+		}
+		r.Slots = max(r.Slots, 1)
+		p.Replica = r
+		b.fit(p)
+		b.services[r.Service] = append(b.services[r.Service], r.Name)
+	}
+	for name := range gone {
+		delete(b.peers, name)
+	}
+	for _, names := range b.services {
+		slices.Sort(names)
+	}
+}
+
+// fit gives a peer the board of its incarnation.
+func (b *Balancer) fit(p *peer) {
+	p.holdings = nil
+	board, ok := b.boards[p.Name]
+	if !ok || board.Incarnation != p.Incarnation {
+		return
+	}
+	p.holdings = make(map[placement.Weights]placement.Holding, len(board.Holdings))
+	for _, h := range board.Holdings {
+		p.holdings[h.Weights] = h
+	}
+}
+
+// SetAnswer takes in what the placer said. It reports whether boards changed.
+func (b *Balancer) SetAnswer(now time.Time, a placement.Answer) bool {
+	if a.Fence < b.fence {
+		return false
+	}
+	b.fence, b.revision, b.heardAt = a.Fence, a.Revision, now
+	for _, board := range a.Boards {
+		b.boards[board.Replica] = board
+		if p := b.peers[board.Replica]; p != nil {
+			b.fit(p)
+		}
+	}
+	for name, p := range b.peers {
+		p.others = max(0, a.Loads[name]-b.told[name])
+	}
+	return len(a.Boards) > 0
+}
+
+// HeardAt returns when the placer answered last.
+func (b *Balancer) HeardAt() time.Time { return b.heardAt }
+
+// Usage returns what to tell the placer, and starts a new count.
+func (b *Balancer) Usage() placement.Usage {
+	u := placement.Usage{DataCentre: b.centre, Fence: b.fence, Revision: b.revision}
+	b.told = make(map[ident.Upstream]int, len(b.peers))
+	for _, name := range slices.Sorted(maps.Keys(b.peers)) {
+		p := b.peers[name]
+		b.told[name] = p.own
+		for w, n := range p.running {
+			if n == 0 && p.started[w] == 0 {
+				delete(p.running, w)
+				continue
+			}
+			u.Runs = append(u.Runs, placement.Run{Replica: name, Weights: w, Running: n, Started: p.started[w]})
+		}
+		clear(p.started)
+	}
+	return u
+}
+
+// Pick chooses a replica and counts the request as in flight there. The second
+// result says why there is none; with Coming, the time is when to look again.
+func (b *Balancer) Pick(now time.Time, q Query) (Choice, Miss, time.Time) {
+	miss, at := Nobody, time.Time{}
+	var best *peer
+	least, load := 0.0, 0.0
+	var version uint64
+	for _, ejected := range []bool{false, true} {
+		for _, name := range b.services[q.Service] {
+			p := b.peers[name]
+			if p.Leaving || slices.Contains(q.Exclude, name) || now.Before(p.ejectedUntil) != ejected {
+				continue
+			}
+			m, h := p.holds(now, q)
+			if m == Found && q.Most > 0 && p.own >= q.Most {
+				m = Crowded
+			}
+			if m != Found {
+				miss, at = betterMiss(miss, at, m, h.ReadyAt)
+				continue
+			}
+			if load = b.cost(p); best == nil || load < least {
+				best, least, version = p, load, h.Version
+			}
+		}
+		// A replica that failed lately is better than none, but for adapters:
+		// those can be loaded elsewhere.
+		if best != nil || miss != Nobody {
+			break
+		}
+	}
+	if best == nil {
+		return Choice{}, miss, at
+	}
+	best.running[q.Weights]++
+	best.started[q.Weights]++
+	best.own++
+	return Choice{
+		Replica: best.Replica, Weights: q.Weights, Version: version,
+		Load: best.own + best.others, LoadAt: b.heardAt,
+	}, Found, time.Time{}
+}
+
+// betterMiss keeps the miss that says most: what is coming first, and then
+// soonest.
+func betterMiss(old Miss, oldAt time.Time, m Miss, at time.Time) (Miss, time.Time) {
+	if old == Coming && (m != Coming || oldAt.Before(at)) || old != Nobody && old < m {
+		return old, oldAt
+	}
+	return m, at
+}
+
+// holds reports whether the replica can run what q needs now.
+func (p *peer) holds(now time.Time, q Query) (Miss, placement.Holding) {
+	if q.Weights.Model == "" {
+		return Found, placement.Holding{}
+	}
+	h, ok := p.holdings[q.Weights]
+	switch {
+	case !ok || h.Version < q.Version:
+		return Absent, h
+	case h.ReadyAt.After(now):
+		return Coming, h
+	}
+	return Found, h
+}
+
+// cost is what sending one more request to p would mean, as a share of its
+// size.
+func (b *Balancer) cost(p *peer) float64 {
+	c := float64(p.own+p.others+1) / float64(p.Slots)
+	if p.DataCentre != b.centre {
+		c += awayPenalty
+	}
+	if p.ejections > 0 || p.faults > 0 {
+		c *= 2
+	}
+	if mean := b.meanOf(p.Service, p.Name); mean > 0 && p.mean > slowFactor*mean {
+		c *= float64(p.mean) / float64(mean)
+	}
+	return c
+}
+
+// meanOf is the mean duration at the other replicas of a service.
+func (b *Balancer) meanOf(s ident.Service, but ident.Upstream) time.Duration {
+	var sum time.Duration
+	n := 0
+	for _, name := range b.services[s] {
+		if p := b.peers[name]; name != but && p.mean > 0 {
+			sum += p.mean
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / time.Duration(n)
+}
+
+// Outcome is how an attempt ended, as far as the replica is to blame.
+type Outcome uint8
+
+const (
+	// Good attempts brought an answer.
+	Good Outcome = iota + 1
+	// Neutral attempts say nothing of the replica.
+	Neutral
+	// Faulty attempts brought a failure or a broken answer.
+	Faulty
+	// Unreachable attempts could not connect, or met silence.
+	Unreachable
+)
+
+// Done ends a request that Pick counted.
+func (b *Balancer) Done(now time.Time, c Choice, o Outcome, took time.Duration) {
+	p := b.peers[c.Replica.Name]
+	if p == nil || p.Incarnation != c.Replica.Incarnation {
+		return
+	}
+	p.running[c.Weights]--
+	p.own--
+	switch o {
+	case Good:
+		p.ejections, p.faults = 0, 0
+		p.mean += time.Duration(smoothing * float64(took-p.mean))
+	case Faulty:
+		if now.Sub(p.faultAt) > faultWindow {
+			p.faults = 0
+		}
+		p.faults++
+		p.faultAt = now
+		if p.faults >= maxFaults {
+			p.eject(now)
+		}
+	case Unreachable:
+		p.eject(now)
+	}
+}
+
+func (p *peer) eject(now time.Time) {
+	if now.Before(p.ejectedUntil) {
+		return
+	}
+	p.ejectedUntil = now.Add(min(ejectFirst<<min(p.ejections, 10), ejectMost))
+	p.ejections++
+}
+
+// Ejected returns the replicas that are left out.
+func (b *Balancer) Ejected(now time.Time) []ident.Upstream {
+	var out []ident.Upstream
+	for name, p := range b.peers {
+		if now.Before(p.ejectedUntil) {
+			out = append(out, name)
+		}
+	}
+	slices.SortFunc(out, cmp.Compare)
+	return out
+}
+
+// Free reports whether fewer than half of the places of a service are taken,
+// as far as is known.
+func (b *Balancer) Free(s ident.Service) (taken, places int) {
+	for _, name := range b.services[s] {
+		p := b.peers[name]
+		if p.Leaving {
+			continue
+		}
+		taken += p.own + p.others
+		places += p.Slots
+	}
+	return taken, places
+}
--- a/core/coordination/consensus/event.go
+++ b/core/coordination/consensus/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"papayaspoke/core/coordination/entry"
+	"papayaspoke/core/ident"
 	"papayaspoke/core/option"
 )
 
@@ -17,6 +18,7 @@
 	eventCompact
 	eventTransfer
 	eventRecover
+	eventCandidates
 )
 
 // Event is an input of [Node.Step]. Make one with the functions below.
@@ -29,6 +31,9 @@
 	// hard and snapshot are what to recover to.
 	hard     Hard
 	snapshot Snapshot
+	// names and founder are those of Candidates.
+	names   []ident.Daemon
+	founder bool
 }
 
 // Tick tells that time has passed. Send one every [TickInterval].
@@ -67,6 +72,14 @@
 // has no effect at other nodes.
 func Transfer() Event { return Event{kind: eventTransfer} }
 
+// Candidates names the daemons that have a disk, in the place of a list in the
+// settings. A founder may form a cluster alone; at most one daemon is ever
+// told so, and none that has lost its disk. It has no effect at a node that is
+// not open.
+func Candidates(names []ident.Daemon, founder bool) Event {
+	return Event{kind: eventCandidates, names: names, founder: founder}
+}
+
 // Recover asks to start a new cluster of this node alone, see
 // [RecoveredState]. The number comes back in an [Outcome]: Committed once the
 // new cluster works, Refused if the node knows of a commit beyond the index.
--- a/core/coordination/consensus/join.go
+++ b/core/coordination/consensus/join.go
@@ -18,6 +18,14 @@
 	probeFresh = 2 * time.Second
 	// maxLearners bounds the learners that are added without an operator.
 	maxLearners = 2
+	// maxOpen bounds the voters of an open cluster.
+	maxOpen = 7
+	// minSeats is how many voters an open cluster keeps even if some are gone:
+	// with fewer, the loss of one disk could lose entries.
+	minSeats = 3
+	// vacateAfter is how long beyond goneAfter a voter of an open cluster is
+	// silent before it loses its seat without a successor at hand.
+	vacateAfter = 5 * time.Second
 )
 
 // probe is the answer of a listed daemon.
@@ -32,10 +40,14 @@
 
 // tickBlank probes the listed voters and forms a cluster if all are blank.
 func (n *Node) tickBlank(now time.Time) {
+	if n.open && n.founder {
+		n.form(now)
+		return
+	}
 	if !slices.Contains(n.listed, n.self.Daemon) {
 		return
 	}
-	if n.allBlank(now) && n.self.Daemon == n.listed[0] {
+	if !n.open && n.allBlank(now) && n.self.Daemon == n.listed[0] {
 		n.form(now)
 		return
 	}
@@ -72,7 +84,7 @@
 func (n *Node) form(now time.Time) {
 	voters := []Voter{n.self}
 	for _, d := range n.listed {
-		if d != n.self.Daemon {
+		if d != n.self.Daemon && !n.open {
 			voters = append(voters, n.probes[d].voter)
 		}
 	}
@@ -154,7 +166,7 @@
 func (n *Node) mayJoin(m Message) bool {
 	known := n.members().IsVoter(m.From) || n.members().IsLearner(m.From)
 	other := m.Cluster != "" && m.Cluster != n.hard.Cluster
-	return !known && !other && slices.Contains(n.listed, m.From.Daemon)
+	return !known && !other && (n.open || slices.Contains(n.listed, m.From.Daemon))
 }
 
 // repair proposes the next change that brings a listed daemon with a new disk
@@ -188,19 +200,54 @@
 			return c, true
 		}
 	}
+	return n.vacate(now)
+}
+
+// onCandidates takes over who has a disk.
+func (n *Node) onCandidates(_ time.Time, ev Event) {
+	if !n.open {
+		return
+	}
+	n.listed = slices.Sorted(slices.Values(ev.names))
+	n.founder = ev.founder
+}
+
+// vacate removes a voter of an open cluster that has been silent for long. It
+// may return as a learner, with all that it has synced.
+func (n *Node) vacate(now time.Time) (Change, bool) {
+	if !n.open || len(n.members().voters) <= minSeats {
+		return Change{}, false
+	}
+	for _, v := range n.members().voters {
+		if p := n.progress[v]; p != nil && !now.Before(p.goneAt.Add(vacateAfter)) {
+			return Change{Remove, v}, true
+		}
+	}
 	return Change{}, false
 }
 
+// silent returns a voter of an open cluster whose seat a learner may take.
+func (n *Node) silent(now time.Time) (Voter, bool) {
+	i := slices.IndexFunc(n.members().voters, func(v Voter) bool { return v != n.self && n.gone(now, v) })
+	if !n.open || i < 0 || len(n.members().voters) < minSeats {
+		return Voter{}, false
+	}
+	return n.members().voters[i], true
+}
+
 // seat returns the next step to make a learner of a listed daemon a voter, if
 // it has caught up with its data synced.
 func (n *Node) seat(now time.Time, l Voter) (Change, bool) {
 	ready := n.alive(now, l) && n.progress[l].match >= n.commit
-	if !ready || !slices.Contains(n.listed, l.Daemon) {
+	if !ready || !n.open && !slices.Contains(n.listed, l.Daemon) {
 		return Change{}, false
 	}
 	old, ok := namesake(n.members().voters, l)
 	if !ok {
-		return Change{Promote, l}, true
+		old, ok = n.silent(now)
+	}
+	if !ok {
+		return Change{Promote, l}, !n.open || len(n.members().voters) < maxOpen
 	}
 	return Change{Remove, old}, n.gone(now, old)
 }
--- a/core/coordination/consensus/node.go
+++ b/core/coordination/consensus/node.go
@@ -33,6 +33,9 @@
 	Self Voter
 	// Listed names the daemons that are to be voters, this one included.
 	Listed []ident.Daemon
+	// Open makes every daemon with a disk a voter: nobody lists them, and
+	// [Candidates] tells which there are.
+	Open bool
 	// Random returns a number from 0 to n-1.
 	Random func(n int64) int64
 	// NewCluster returns a random id for a new cluster.
@@ -43,7 +46,11 @@
 type Node struct {
 	self Voter
 	// listed is sorted.
-	listed     []ident.Daemon
+	listed []ident.Daemon
+	open   bool
+	// founder is true, with open, if this node may form a cluster alone. At
+	// most one node is ever told so.
+	founder    bool
 	random     func(n int64) int64
 	newCluster func() string
 
@@ -134,6 +141,7 @@
 	n := &Node{
 		self:       s.Self,
 		listed:     slices.Sorted(slices.Values(s.Listed)),
+		open:       s.Open,
 		random:     s.Random,
 		newCluster: s.NewCluster,
 		hard:       st.Hard,
@@ -168,15 +176,16 @@
 }
 
 var handlers = [...]func(*Node, time.Time, Event){
-	eventTick:     func(n *Node, now time.Time, _ Event) { n.tick(now) },
-	eventReceive:  func(n *Node, now time.Time, ev Event) { n.receive(now, ev.message) },
-	eventSynced:   (*Node).onSynced,
-	eventPropose:  (*Node).onPropose,
-	eventRead:     (*Node).onRead,
-	eventChange:   (*Node).onChange,
-	eventCompact:  (*Node).onCompact,
-	eventTransfer: (*Node).onTransfer,
-	eventRecover:  (*Node).onRecover,
+	eventTick:       func(n *Node, now time.Time, _ Event) { n.tick(now) },
+	eventReceive:    func(n *Node, now time.Time, ev Event) { n.receive(now, ev.message) },
+	eventSynced:     (*Node).onSynced,
+	eventPropose:    (*Node).onPropose,
+	eventRead:       (*Node).onRead,
+	eventChange:     (*Node).onChange,
+	eventCompact:    (*Node).onCompact,
+	eventTransfer:   (*Node).onTransfer,
+	eventRecover:    (*Node).onRecover,
+	eventCandidates: (*Node).onCandidates,
 }
 
 func (n *Node) tick(now time.Time) {
--- a/core/coordination/membership/record.go
+++ b/core/coordination/membership/record.go
@@ -33,7 +33,9 @@
 	// Caller, Peer and Operator are addresses, an IP number and a port each.
 	// Peer is not empty; the others may be.
 	Caller, Peer, Operator string
-	DataCentre             ident.DataCentre
+	// Front is where clients of a platform's routes connect, or empty.
+	Front      string
+	DataCentre ident.DataCentre
 	// Draining is set for good once the daemon is about to end.
 	Draining bool
 	// ReachableUntil is, of a draining daemon, when the last answer that
@@ -53,8 +55,12 @@
 const (
 	// Engine runs a base model with adapters.
 	Engine Kind = iota + 1
-	// PlainService is any other upstream.
+	// PlainService is any other upstream that serves callers of the product's
+	// own interface.
 	PlainService
+	// Routed upstreams serve the routes of the routing document, with or
+	// without models.
+	Routed
 )
 
 // Upstream is what a replica of an engine or a plain service says of itself.
@@ -180,7 +186,7 @@
 func (r Record) size() int {
 	if d := r.Daemon; d != nil {
 		return daemonBytes + len(d.Name) + len(d.Caller) + len(d.Peer) + len(d.Operator) +
-			len(d.DataCentre) + len(d.Disk)
+			len(d.DataCentre) + len(d.Disk) + len(d.Front)
 	}
 	u := r.Upstream
 	n := upstreamBytes + len(u.Name) + len(u.Model) + len(u.Service) + len(u.Address) +
--- /dev/null
+++ b/core/coordination/placement/place.go
@@ -0,0 +1,488 @@
+package placement
+
+import (
+	"cmp"
+	"hash/fnv"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"papayaspoke/core/ident"
+)
+
+const (
+	// rateHalf is the time in which a rate of use falls by half.
+	rateHalf = 5 * time.Second
+	// copyInterval separates looks for adapters that want another copy.
+	copyInterval = 200 * time.Millisecond
+	// minCopyLoad is how many requests in flight a copy carries before
+	// another is made, even if replicas are nearly idle.
+	minCopyLoad = 8
+	// idleBeforeDrop is how long an adapter is unused before it makes way.
+	idleBeforeDrop = 400 * time.Millisecond
+)
+
+// rate is a decaying count of uses.
+type rate struct {
+	value float64
+	at    time.Time
+}
+
+func (r *rate) now(now time.Time) float64 {
+	if r == nil {
+		return 0
+	}
+	return r.value * math.Exp2(-float64(now.Sub(r.at))/float64(rateHalf))
+}
+
+func (r *rate) add(now time.Time, n int) {
+	r.value, r.at = r.now(now)+float64(n), now
+}
+
+func (p *Placer) rate(w Weights) *rate {
+	r := p.rates[w]
+	if r == nil {
+		r = &rate{}
+		p.rates[w] = r
+	}
+	return r
+}
+
+// place gives what orders it can for what is wanted.
+func (p *Placer) place(now time.Time) {
+	p.expire(now)
+	p.replaceStale(now)
+	p.placeModels(now)
+	for _, w := range p.ordered(now) {
+		if p.transit(now) >= MaxTransit {
+			break
+		}
+		p.placeOne(now, w, p.wants[w].version, p.wants[w].service)
+	}
+	p.send(now)
+}
+
+func (p *Placer) expire(now time.Time) {
+	for w, x := range p.wants {
+		for d, n := range x.waiting {
+			if now.After(n.until) {
+				delete(x.waiting, d)
+			}
+		}
+		if len(x.waiting) == 0 {
+			delete(p.wants, w)
+		}
+	}
+}
+
+// ordered returns what is wanted and not there, what most requests wait for
+// first.
+func (p *Placer) ordered(now time.Time) []Weights {
+	var out []Weights
+	counts := make(map[Weights]int)
+	for w, x := range p.wants {
+		if w.IsModel() || p.placed(w, max(x.version, p.named[w])) {
+			continue
+		}
+		for _, n := range x.waiting {
+			counts[w] += n.count
+		}
+		out = append(out, w)
+	}
+	slices.SortFunc(out, func(a, b Weights) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), p.wants[a].since.Compare(p.wants[b].since), cmp.Compare(a.Adapter, b.Adapter))
+	})
+	return out
+}
+
+// placed reports whether a replica holds w, fetches it or is about to.
+func (p *Placer) placed(w Weights, version uint64) bool {
+	for _, s := range p.seats {
+		if s.Leaving {
+			continue
+		}
+		if sl := s.slots[w]; sl != nil && sl.usable() && sl.version >= version {
+			return true
+		}
+		if s.plans(w) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *seat) plans(w Weights) bool {
+	return slices.ContainsFunc(s.plan, func(o Order) bool { return o.Load && o.Weights == w })
+}
+
+// transit counts the adapters that are under way, or about to be.
+func (p *Placer) transit(now time.Time) int {
+	n := 0
+	for _, s := range p.seats {
+		n += s.coming(now)
+	}
+	return n
+}
+
+func (s *seat) coming(now time.Time) int {
+	n := 0
+	for w, sl := range s.slots {
+		if !w.IsModel() && sl.readyAt.After(now) {
+			n++
+		}
+	}
+	for _, o := range s.plan {
+		if o.Load {
+			n++
+		}
+	}
+	return n
+}
+
+// taken counts the places that are taken, or about to be.
+func (s *seat) taken() int {
+	n := 0
+	for w := range s.slots {
+		if !w.IsModel() {
+			n++
+		}
+	}
+	for _, o := range s.plan {
+		if !o.Weights.IsModel() && o.Load {
+			if s.slots[o.Weights] == nil {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// option is a way to place an adapter.
+type option struct {
+	seat *seat
+	// victim makes way; its Adapter is empty if a place is free.
+	victim Weights
+	cost   float64
+}
+
+// placeOne has an adapter loaded at the best replica. It reports whether one
+// was found.
+func (p *Placer) placeOne(now time.Time, w Weights, version uint64, service ident.Service) bool {
+	best := option{cost: math.Inf(1)}
+	for _, name := range slices.Sorted(maps.Keys(p.seats)) {
+		s := p.seats[name]
+		if !s.takes(now, w, service) {
+			continue
+		}
+		if o, ok := p.optionAt(now, s, w); ok && o.cost < best.cost {
+			best = o
+		}
+	}
+	if best.seat == nil {
+		return false
+	}
+	s := best.seat
+	if !best.victim.IsModel() {
+		s.slots[best.victim].leaving = true
+		s.slots[best.victim].changed = now
+		s.plan = append(s.plan, Order{Replica: s.Name, Incarnation: s.Incarnation, Weights: best.victim})
+		p.touch(s)
+	}
+	s.plan = append(s.plan, Order{
+		Replica: s.Name, Incarnation: s.Incarnation, Weights: w, Load: true, Version: max(version, p.named[w]),
+	})
+	return true
+}
+
+// takes reports whether the replica may be ordered to load w now.
+func (s *seat) takes(now time.Time, w Weights, service ident.Service) bool {
+	if !s.known || s.Leaving || s.Service != service || now.Before(s.restUntil) || len(s.plan) > 2 {
+		return false
+	}
+	m := s.slots[Weights{Model: w.Model}]
+	return m != nil && m.usable() && !m.readyAt.After(now) && s.slots[w] == nil && !s.plans(w) && s.coming(now) < maxComing
+}
+
+// optionAt returns how w could be placed at a replica, and what that costs in
+// seconds of waiting.
+func (p *Placer) optionAt(now time.Time, s *seat, w Weights) (option, bool) {
+	o := option{seat: s, cost: p.fetch.Seconds()}
+	if _, ok := s.kept[w]; ok {
+		o.cost = diskTime.Seconds()
+	}
+	o.cost += 0.1 * spread(s.Name, w)
+	if s.Batch > 0 {
+		load := float64(s.running) / float64(s.Batch)
+		o.cost += load * load
+	}
+	if s.taken() < s.Places {
+		return o, true
+	}
+	victim, value, ok := p.victim(now, s)
+	o.victim = victim
+	o.cost += value
+	return o, ok
+}
+
+// spread ranks replicas for w, from 0 to 1, the same at each placer.
+func spread(name ident.Upstream, w Weights) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(w.Adapter))
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return float64(x>>11) / (1 << 53)
+}
+
+// victim returns the adapter that makes way with the least loss, in seconds of
+// waiting that its return is expected to cost.
+func (p *Placer) victim(now time.Time, s *seat) (Weights, float64, bool) {
+	var best Weights
+	least, found := math.Inf(1), false
+	for w, sl := range s.slots {
+		idle := now.Sub(sl.usedAt) > idleBeforeDrop && now.Sub(sl.readyAt) > idleBeforeDrop
+		if w.IsModel() || !sl.usable() || !idle || p.wants[w] != nil || p.runningOf(s.Name, w) > 0 {
+			continue
+		}
+		value := p.rates[w].now(now) * diskTime.Seconds() / float64(p.holders(w))
+		if value < least || value == least && w.Adapter < best.Adapter {
+			best, least, found = w, value, true
+		}
+	}
+	return best, least, found
+}
+
+// holders counts the replicas that hold w, at least 1.
+func (p *Placer) holders(w Weights) int {
+	n := 0
+	for _, s := range p.seats {
+		if sl := s.slots[w]; sl != nil && sl.usable() {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
+// copies makes another copy of what fills more than its share.
+func (p *Placer) copies(now time.Time) {
+	if now.Before(p.copyAt) {
+		return
+	}
+	p.copyAt = now.Add(copyInterval)
+	total, seats := 0, 0
+	for _, s := range p.seats {
+		if s.known && !s.Leaving {
+			total += s.running
+			seats++
+		}
+	}
+	if seats == 0 {
+		return
+	}
+	share := max(minCopyLoad, 0.7*float64(total)/float64(seats))
+	running := make(map[Weights]int)
+	for _, u := range p.daemons {
+		for _, r := range u.runs {
+			running[r.Weights] += r.Running
+		}
+	}
+	for _, w := range slices.SortedFunc(maps.Keys(running), func(a, b Weights) int {
+		return cmp.Or(cmp.Compare(running[b], running[a]), cmp.Compare(a.Adapter, b.Adapter))
+	}) {
+		if float64(running[w]) <= share {
+			return
+		}
+		p.copy(now, w, int(math.Ceil(float64(running[w])/share)))
+	}
+}
+
+func (p *Placer) copy(now time.Time, w Weights, wanted int) {
+	if w.IsModel() {
+		return
+	}
+	var service ident.Service
+	have := 0
+	for _, s := range p.seats {
+		if sl := s.slots[w]; sl != nil && sl.usable() && !s.Leaving || s.plans(w) {
+			have++
+			service = s.Service
+		}
+	}
+	for ; have > 0 && have < wanted && p.transit(now) < MaxTransit; have++ {
+		if !p.placeOne(now, w, p.named[w], service) {
+			return
+		}
+	}
+}
+
+// replaceStale has what is held at an older version than named fetched anew,
+// and drops the older one.
+func (p *Placer) replaceStale(now time.Time) {
+	for _, s := range p.seats {
+		for w, sl := range s.slots {
+			version := p.named[w]
+			if w.IsModel() || version == 0 || sl.version >= version || !sl.usable() || sl.readyAt.After(now) {
+				continue
+			}
+			if !p.placed(w, version) && p.rates[w].now(now) > 0.5 && p.transit(now) < MaxTransit {
+				p.placeOne(now, w, version, s.Service)
+			}
+			if len(s.plan) > 0 {
+				continue
+			}
+			sl.leaving, sl.changed = true, now
+			s.plan = append(s.plan, Order{Replica: s.Name, Incarnation: s.Incarnation, Weights: w})
+			p.touch(s)
+		}
+	}
+}
+
+// placeModels gives replicas that hold no base model one: that of which most
+// requests wait or which fewest replicas hold.
+func (p *Placer) placeModels(now time.Time) {
+	for _, name := range slices.Sorted(maps.Keys(p.seats)) {
+		s := p.seats[name]
+		if !s.known || s.Leaving || len(s.plan) > 0 || len(s.Models) == 0 || now.Before(s.restUntil) || s.hasModel() {
+			continue
+		}
+		if p.modelsComing(now) >= maxModels {
+			return
+		}
+		best := slices.MinFunc(s.Models, func(a, b ident.Model) int {
+			return cmp.Compare(p.modelHolders(s.Service, a), p.modelHolders(s.Service, b))
+		})
+		s.plan = append(s.plan, Order{Replica: s.Name, Incarnation: s.Incarnation, Weights: Weights{Model: best}, Load: true})
+	}
+}
+
+func (s *seat) hasModel() bool {
+	for w := range s.slots {
+		if w.IsModel() {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Placer) modelsComing(now time.Time) int {
+	n := 0
+	for _, s := range p.seats {
+		for w, sl := range s.slots {
+			if w.IsModel() && sl.readyAt.After(now) {
+				n++
+			}
+		}
+		if len(s.plan) > 0 && s.plan[0].Load && s.plan[0].Weights.IsModel() {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *Placer) modelHolders(service ident.Service, m ident.Model) int {
+	n := 0
+	for _, s := range p.seats {
+		if s.Service == service && s.slots[Weights{Model: m}] != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// send gives each replica its next order.
+func (p *Placer) send(now time.Time) {
+	for _, name := range slices.Sorted(maps.Keys(p.seats)) {
+		s := p.seats[name]
+		if len(s.plan) == 0 || s.ordered || now.Before(s.restUntil) {
+			continue
+		}
+		s.ordered = true
+		p.out.Orders = append(p.out.Orders, s.plan[0])
+	}
+}
+
+// Ordered tells what became of an order.
+func (p *Placer) Ordered(now time.Time, o Order, v Verdict) Effects {
+	s := p.seats[o.Replica]
+	if s == nil || s.Incarnation != o.Incarnation || !s.ordered || len(s.plan) == 0 || s.plan[0] != o {
+		return p.take()
+	}
+	s.ordered = false
+	s.plan = s.plan[1:]
+	if o.Load {
+		p.loaded(now, s, o, v)
+	} else {
+		p.unloaded(now, s, o, v)
+	}
+	p.place(now)
+	return p.take()
+}
+
+func (p *Placer) loaded(now time.Time, s *seat, o Order, v Verdict) {
+	sl := &slot{version: o.Version, usedAt: now, changed: now, readyAt: now}
+	switch v {
+	case Begun:
+		sl.readyAt = now.Add(p.duration(now, s, o.Weights) + settle)
+	case Done:
+	case Unanswered:
+		sl.doubtUntil = now.Add(lostAfter)
+		s.abandonPlan()
+		s.wanting = true
+	default:
+		s.abandonPlan()
+		s.wanting = true
+		s.restUntil = now.Add(busyRetry)
+		return
+	}
+	s.slots[o.Weights] = sl
+	p.touch(s)
+}
+
+// duration is how long a load that begins now takes.
+func (p *Placer) duration(now time.Time, s *seat, w Weights) time.Duration {
+	if w.IsModel() {
+		return s.LoadTime
+	}
+	if _, ok := s.kept[w]; ok {
+		return diskTime
+	}
+	crowd := max(1, float64(p.transit(now))/MaxTransit)
+	return time.Duration(float64(p.fetch) * crowd)
+}
+
+func (p *Placer) unloaded(now time.Time, s *seat, o Order, v Verdict) {
+	sl := s.slots[o.Weights]
+	if sl == nil {
+		return
+	}
+	switch v {
+	case Done:
+		s.drop(now, o.Weights)
+	case Begun, Unanswered:
+		// It goes once its requests have ended; a listing will tell.
+		sl.changed = now
+		s.abandonPlan()
+		s.wanting = true
+		s.askAt = now.Add(askAgain)
+	default:
+		sl.leaving = false
+		s.abandonPlan()
+		s.wanting = true
+		s.restUntil = now.Add(busyRetry)
+	}
+	p.touch(s)
+}
+
+// abandonPlan gives up the orders that were not given yet.
+func (s *seat) abandonPlan() {
+	for _, o := range s.plan {
+		if sl := s.slots[o.Weights]; !o.Load && sl != nil {
+			sl.leaving = false
+		}
+	}
+	s.plan = nil
+}
--- /dev/null
+++ b/core/coordination/placement/placer.go
@@ -0,0 +1,428 @@
+package placement
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"papayaspoke/core/ident"
+)
+
+const (
+	// MaxTransit is how many adapters are fetched at a time, over all replicas.
+	// The weight store slows down beyond.
+	MaxTransit = 8
+	// maxComing is how many adapters may be in transit to one replica.
+	maxComing = 4
+	// maxModels is how many base models are fetched at a time.
+	maxModels = 1
+	// fetchTime is how long an adapter takes from the weight store, until
+	// replicas show that it takes longer.
+	fetchTime = 250 * time.Millisecond
+	// diskTime is the same for one that the replica has on its own disk.
+	diskTime = 25 * time.Millisecond
+	// settle is added to the time at which an adapter can be used: it covers
+	// the way of the order and the answer.
+	settle = 15 * time.Millisecond
+	// listingLag is how old the state in a listing can be.
+	listingLag = time.Second
+	// absentAfter is how long after an adapter should be ready a listing has
+	// to be made to prove that it is not there.
+	absentAfter = 2 * time.Second
+	// askAgain separates questions for the listing of one replica. Each costs
+	// the replica a probe.
+	askAgain = 400 * time.Millisecond
+	// forgetDaemon is how long the usage of a silent daemon counts.
+	forgetDaemon = 2 * time.Second
+	// demandFor is how long a demand counts that is not repeated.
+	demandFor = 700 * time.Millisecond
+	// busyRetry is how long a replica that refused an order gets no other.
+	busyRetry = 100 * time.Millisecond
+	// lostAfter is how long an unanswered order may still be carried out.
+	lostAfter = 13 * time.Second
+)
+
+// slot is one thing that a replica holds, is fetching or may hold.
+type slot struct {
+	version uint64
+	// readyAt is when it can be used, changed when it was last ordered.
+	readyAt, changed time.Time
+	// usedAt is when a request last used it.
+	usedAt time.Time
+	// leaving is true from the order to unload until a later listing.
+	leaving bool
+	// doubtUntil is until when an unanswered order may still bring it; until
+	// then it takes a place but is not to be used.
+	doubtUntil time.Time
+}
+
+func (s *slot) usable() bool { return !s.leaving && s.doubtUntil.IsZero() }
+
+// seat is what the placer knows of one replica.
+type seat struct {
+	Replica
+	slots map[Weights]*slot
+	// known is true once a listing of this incarnation has arrived.
+	known bool
+	// plan holds the orders to give next; the first one is under way if
+	// ordered is true.
+	plan    []Order
+	ordered bool
+	// restUntil is until when no order is given.
+	restUntil time.Time
+	// askAt is when the listing may be asked for again.
+	askAt time.Time
+	// wanting is true if the listing should be asked for.
+	wanting bool
+	// kept are adapters that it held, by when it dropped them.
+	kept map[Weights]time.Time
+	// revision is when the board changed last.
+	revision uint64
+	// running counts the requests in flight.
+	running int
+}
+
+// usage is what a daemon said last.
+type usage struct {
+	at   time.Time
+	runs []Run
+}
+
+// want is the demand for one thing.
+type want struct {
+	service ident.Service
+	version uint64
+	// waiting counts requests by daemon, and until when that counts.
+	waiting map[ident.Daemon]waiting
+	// centre is the data centre that asked last.
+	centre ident.DataCentre
+	since  time.Time
+}
+
+type waiting struct {
+	count int
+	until time.Time
+}
+
+// Placer decides for one term of office. It is not safe for concurrent use.
+type Placer struct {
+	fence    ident.Fence
+	revision uint64
+	seats    map[ident.Upstream]*seat
+	daemons  map[ident.Daemon]*usage
+	wants    map[Weights]*want
+	rates    map[Weights]*rate
+	// named holds the versions that were named, by weights.
+	named map[Weights]uint64
+	// fetch is how long an adapter takes from the store, as learned.
+	fetch  time.Duration
+	copyAt time.Time
+	out    Effects
+}
+
+// New returns the placer with a fencing number.
+func New(fence ident.Fence) *Placer {
+	return &Placer{
+		fence: fence, fetch: fetchTime,
+		seats:   make(map[ident.Upstream]*seat),
+		daemons: make(map[ident.Daemon]*usage),
+		wants:   make(map[Weights]*want),
+		rates:   make(map[Weights]*rate),
+		named:   make(map[Weights]uint64),
+	}
+}
+
+// Fence returns the fencing number of this term of office.
+func (p *Placer) Fence() ident.Fence { return p.fence }
+
+// take returns the effects collected since the last call.
+func (p *Placer) take() Effects {
+	out := p.out
+	p.out = Effects{}
+	return out
+}
+
+// SetReplicas tells which replicas there are.
+func (p *Placer) SetReplicas(now time.Time, rs []Replica) Effects {
+	gone := maps.Clone(p.seats)
+	for _, r := range rs {
+		delete(gone, r.Name)
+		p.setReplica(now, r)
+	}
+	for name := range gone {
+		delete(p.seats, name)
+	}
+	p.place(now)
+	return p.take()
+}
+
+func (p *Placer) setReplica(now time.Time, r Replica) {
+	s := p.seats[r.Name]
+	if s == nil {
+		s = &seat{kept: make(map[Weights]time.Time)}
+		p.seats[r.Name] = s
+	}
+	if s.slots == nil || s.Incarnation != r.Incarnation {
+		for w := range s.slots {
+			if !w.IsModel() {
+				s.kept[w] = now
+			}
+		}
+		s.slots = make(map[Weights]*slot)
+		s.known, s.wanting, s.plan, s.ordered = false, true, nil, false
+		p.touch(s)
+	}
+	if s.Leaving != r.Leaving {
+		p.touch(s)
+	}
+	s.Replica = r
+}
+
+// touch makes daemons learn of a replica's board.
+func (p *Placer) touch(s *seat) {
+	p.revision++
+	s.revision = p.revision
+}
+
+// SetNamed tells the versions that are to be used.
+func (p *Placer) SetNamed(now time.Time, named map[Weights]uint64) Effects {
+	p.named = named
+	p.place(now)
+	return p.take()
+}
+
+// Use takes in what a daemon says and returns what it should know.
+func (p *Placer) Use(now time.Time, u Usage) (Answer, Effects) {
+	p.daemons[u.Daemon] = &usage{at: now, runs: u.Runs}
+	for _, r := range u.Runs {
+		p.used(now, r)
+	}
+	for _, d := range u.Demands {
+		p.demanded(now, u, d)
+	}
+	for _, l := range u.Listings {
+		p.announced(now, l)
+	}
+	p.count(now)
+	p.place(now)
+	return p.answer(u), p.take()
+}
+
+func (p *Placer) used(now time.Time, r Run) {
+	if r.Started > 0 {
+		p.rate(r.Weights).add(now, r.Started)
+	}
+	if s := p.seats[r.Replica]; s != nil {
+		if sl := s.slots[r.Weights]; sl != nil {
+			sl.usedAt = now
+		}
+	}
+}
+
+func (p *Placer) demanded(now time.Time, u Usage, d Demand) {
+	if d.Missed != "" {
+		p.missed(now, d)
+	}
+	if d.Waiting == 0 {
+		if w := p.wants[d.Weights]; w != nil {
+			delete(w.waiting, u.Daemon)
+		}
+		return
+	}
+	w := p.wants[d.Weights]
+	if w == nil {
+		w = &want{since: now, waiting: make(map[ident.Daemon]waiting)}
+		p.wants[d.Weights] = w
+	}
+	w.service, w.version, w.centre = d.Service, max(w.version, d.Version), u.DataCentre
+	w.waiting[u.Daemon] = waiting{count: d.Waiting, until: now.Add(demandFor)}
+}
+
+// missed handles the word of a replica that it does not hold what it should.
+// Right after a load that means that loads take longer than thought.
+func (p *Placer) missed(now time.Time, d Demand) {
+	s := p.seats[d.Missed]
+	if s == nil {
+		return
+	}
+	s.wanting = true
+	sl := s.slots[d.Weights]
+	if sl == nil || !sl.usable() || sl.readyAt.After(now) {
+		return
+	}
+	if late := now.Sub(sl.readyAt); late < p.fetch {
+		sl.readyAt = now.Add(p.fetch / 4)
+		p.touch(s)
+		return
+	}
+	sl.doubtUntil = now.Add(listingLag)
+	p.touch(s)
+}
+
+// Listed takes in what a replica said of itself.
+func (p *Placer) Listed(now time.Time, l Listing) Effects {
+	p.listed(now, l)
+	p.place(now)
+	return p.take()
+}
+
+// announced takes in what a replica announced. Announcements can be delayed,
+// so one that differs from what is known only makes the placer ask.
+func (p *Placer) announced(now time.Time, l Listing) {
+	s := p.seats[l.Replica]
+	if s == nil || s.Incarnation != l.Incarnation || !s.known {
+		return
+	}
+	seen := make(map[Weights]bool, len(l.Holdings))
+	for _, h := range l.Holdings {
+		seen[h.Weights] = true
+		sl := s.slots[h.Weights]
+		if sl == nil && now.Sub(s.kept[h.Weights]) > absentAfter || sl != nil && sl.version < h.Version {
+			s.wanting = true
+		}
+	}
+	for w, sl := range s.slots {
+		if !seen[w] && sl.absentIn(l.MadeAt) {
+			s.wanting = true
+		}
+	}
+}
+
+func (p *Placer) listed(now time.Time, l Listing) {
+	s := p.seats[l.Replica]
+	if s == nil || s.Incarnation != l.Incarnation {
+		return
+	}
+	changed := !s.known
+	s.known, s.wanting = true, false
+	seen := make(map[Weights]bool, len(l.Holdings))
+	for _, h := range l.Holdings {
+		seen[h.Weights] = true
+		changed = s.holds(now, l.MadeAt, h) || changed
+	}
+	for w, sl := range s.slots {
+		if !seen[w] && sl.absentIn(l.MadeAt) {
+			s.drop(now, w)
+			changed = true
+		}
+	}
+	if changed {
+		p.touch(s)
+	}
+}
+
+// absentIn reports whether a listing without the slot proves that its place is
+// free. Loads can take longer than thought and listings can be older than
+// thought, so only one made a good while later does.
+func (s *slot) absentIn(madeAt time.Time) bool {
+	since := s.changed
+	for _, t := range []time.Time{s.readyAt, s.doubtUntil} {
+		if t.After(since) {
+			since = t
+		}
+	}
+	if s.leaving {
+		return since.Before(madeAt)
+	}
+	return since.Add(absentAfter).Before(madeAt)
+}
+
+// holds notes that a listing shows h. It reports whether that is news.
+func (s *seat) holds(now, madeAt time.Time, h Holding) bool {
+	if s.kept[h.Weights].After(madeAt) {
+		// It was dropped after the listing was made.
+		return false
+	}
+	sl := s.slots[h.Weights]
+	if sl == nil {
+		s.slots[h.Weights] = &slot{version: h.Version, readyAt: h.ReadyAt, usedAt: now}
+		return true
+	}
+	if sl.changed.After(madeAt) {
+		return false
+	}
+	news := sl.version != h.Version || !sl.doubtUntil.IsZero() || sl.leaving
+	sl.version, sl.doubtUntil, sl.leaving = h.Version, time.Time{}, false
+	return news
+}
+
+// drop forgets that the replica holds w.
+func (s *seat) drop(now time.Time, w Weights) {
+	delete(s.slots, w)
+	if !w.IsModel() {
+		s.kept[w] = now
+	}
+}
+
+// count adds up what daemons run.
+func (p *Placer) count(now time.Time) {
+	for _, s := range p.seats {
+		s.running = 0
+	}
+	for name, u := range p.daemons {
+		if now.Sub(u.at) > forgetDaemon {
+			delete(p.daemons, name)
+			continue
+		}
+		for _, r := range u.runs {
+			if s := p.seats[r.Replica]; s != nil {
+				s.running += r.Running
+			}
+		}
+	}
+}
+
+// runningOf counts what daemons run on one thing at one replica.
+func (p *Placer) runningOf(name ident.Upstream, w Weights) int {
+	n := 0
+	for _, u := range p.daemons {
+		for _, r := range u.runs {
+			if r.Replica == name && r.Weights == w {
+				n += r.Running
+			}
+		}
+	}
+	return n
+}
+
+func (p *Placer) answer(u Usage) Answer {
+	a := Answer{Fence: p.fence, Revision: p.revision, Loads: make(map[ident.Upstream]int, len(p.seats))}
+	since := u.Revision
+	if u.Fence != p.fence {
+		since = 0
+	}
+	for _, name := range slices.Sorted(maps.Keys(p.seats)) {
+		s := p.seats[name]
+		if s.running > 0 {
+			a.Loads[name] = s.running
+		}
+		if s.known && s.revision > since {
+			a.Boards = append(a.Boards, s.board())
+		}
+	}
+	return a
+}
+
+func (s *seat) board() Board {
+	b := Board{Replica: s.Name, Incarnation: s.Incarnation}
+	for w, sl := range s.slots {
+		if sl.usable() {
+			b.Holdings = append(b.Holdings, Holding{Weights: w, Version: sl.version, ReadyAt: sl.readyAt})
+		}
+	}
+	return b
+}
+
+// Tick tells the time. It is due every 50 ms or so.
+func (p *Placer) Tick(now time.Time) Effects {
+	p.count(now)
+	p.copies(now)
+	p.place(now)
+	for _, s := range p.seats {
+		if s.wanting && !now.Before(s.askAt) {
+			s.askAt = now.Add(askAgain)
+			p.out.Ask = append(p.out.Ask, s.Name)
+		}
+	}
+	return p.take()
+}
--- a/core/result/result.go
+++ b/core/result/result.go
@@ -31,6 +31,7 @@
 	NotFound          Code = 114
 	DeadlineTooFar    Code = 115
 	RequestIncomplete Code = 116
+	NoRoute           Code = 117
 
 	Overloaded       Code = 201
 	DeadlineHopeless Code = 202
@@ -46,6 +47,7 @@
 	NotResident      Code = 212
 	Pinned           Code = 213
 	Superseded       Code = 214
+	NoRouting        Code = 215
 
 	Unknown        Code = 301
 	StillRunning   Code = 302
--- a/core/result/table.go
+++ b/core/result/table.go
@@ -18,6 +18,7 @@
 	{NotFound, "path", "no such path", "See docs/INTERFACES.md.", 404, true, false},
 	{DeadlineTooFar, "far", "deadline is too far away", "Give a nearer deadline.", 400, true, false},
 	{RequestIncomplete, "incomplete", "request was not sent whole", "Send it again.", 408, true, true},
+	{NoRoute, "noroute", "no route matches the host and path", "Check host and path; check the routing document.", 404, true, false},
 
 	{Overloaded, "overloaded", "too much work is waiting", "Retry after the time given.", 429, true, true},
 	{DeadlineHopeless, "hopeless", "deadline cannot be met", "Retry after the time given.", 503, true, true},
@@ -33,6 +34,7 @@
 	{NotResident, "notresident", "adapter is not resident", "Retry after the time given.", 503, true, true},
 	{Pinned, "pinned", "adapter is in use and stays", "Retry after the time given.", 503, true, true},
 	{Superseded, "superseded", "another copy with this key was told not run", "Send it again with the same key if the work is still wanted.", 503, true, true},
+	{NoRouting, "norouting", "no routing document is known yet", "Retry; use another of the addresses given.", 503, true, true},
 
 	{Unknown, "unknown", "outcome is unknown", "Do not assume either; look at the service's own record.", 502, false, false},
 	{StillRunning, "running", "same key is still running", "Ask again with the same key.", 409, false, true},
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -8,7 +8,8 @@
 
 // Command is one of the types that [State.Apply] takes: Change, Assign,
 // Revoke, Yield, Release, Begin, Finish, Abandon, MarkUnknown, FormWitnesses,
-// Orphan, Expire, Quarantine or Batch.
+// Orphan, Expire, Quarantine, PutRouting, NameVersion, AppointPlacer,
+// RetirePlacer or Batch.
 type Command interface {
 	apply(s *State) Outcome
 }
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -49,6 +49,9 @@
 	Entries      []*Entry
 	Expired      time.Time
 	Quarantined  []Quarantined
+	Routing      Routing
+	Namings      []Naming
+	Placer       Placer
 }
 
 // Export returns the whole state. It may be called on a View while the state
@@ -69,6 +72,9 @@
 		Sequence:       v.sequence,
 		Entries:        v.entries.Values(),
 		Expired:        v.expired,
+		Routing:        v.routing,
+		Namings:        v.Namings(),
+		Placer:         v.placer,
 	}
 	for name, version := range v.drained.All() {
 		s.Drained = append(s.Drained, Drained{Name: name, Version: version})
@@ -148,6 +154,10 @@
 	for _, q := range s.Quarantined {
 		v.quarantined = v.quarantined.Put(q.Digest, q.Until)
 	}
+	v.routing, v.placer = s.Routing, s.Placer
+	for _, n := range s.Namings {
+		v.named = v.named.Put(namingKey{n.Model, n.Adapter}, n.Version)
+	}
 }
 
 // Check returns an error if an invariant does not hold.
@@ -155,7 +165,7 @@
 
 // Check returns an error if an invariant does not hold.
 func (v *View) Check() error {
-	if err := first(v.checkCatalogue(), v.checkVersions(), v.checkControl(), v.checkLedger()); err != nil {
+	if err := first(v.checkCatalogue(), v.checkVersions(), v.checkControl(), v.checkPlatform(), v.checkLedger()); err != nil {
 		return err
 	}
 	return nil
--- a/core/state/view.go
+++ b/core/state/view.go
@@ -113,6 +113,10 @@
 	// expired is the latest Until of any Expire.
 	expired     time.Time
 	quarantined ordered.Map[string, time.Time]
+
+	routing Routing
+	named   ordered.Map[namingKey, uint64]
+	placer  Placer
 }
 
 func newView() View {
@@ -130,6 +134,7 @@
 		deadlines:   ordered.New[due, struct{}](due.compare),
 		running:     ordered.New[ownerKey, struct{}](ownerKey.compare),
 		quarantined: ordered.New[string, time.Time](cmp.Compare),
+		named:       ordered.New[namingKey, uint64](compareNaming),
 	}
 }
 
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -12,6 +12,7 @@
 	"papayaspoke/core/coordination/ledger"
 	"papayaspoke/core/coordination/membership"
 	"papayaspoke/core/coordination/ownership"
+	"papayaspoke/core/coordination/placement"
 	"papayaspoke/core/coordination/witness"
 	"papayaspoke/core/ident"
 	"papayaspoke/core/state"
@@ -90,6 +91,21 @@
 	// afterPublish runs once the next view is published.
 	afterPublish []func()
 
+	// platform is nil unless the daemon serves a platform's routes.
+	platform *Platform
+	placing  placing
+	// open is true if every daemon with a disk is a voter; founder if such a
+	// cluster starts for the first time, through the seeds in their order.
+	open, founder bool
+	seeds         []string
+	// disks and founding are what the voter was last told.
+	disks    []ident.Daemon
+	founding bool
+	// listings are what replicas have announced since the placer was last told.
+	listings []placement.Listing
+	// reads holds who waits for a linearizable read of this leader.
+	reads map[uint64]chan<- consensus.ReadOutcome
+
 	send   sender
 	orders orders
 	// publish swaps the view that traffic goroutines read.
@@ -110,6 +126,9 @@
 	permits   func(to ident.Daemon, a budget.Ask, released []budget.PermitID)
 	// read asks for a linearizable read through the voters.
 	read func()
+	// catchUp makes a linearizable read and runs f on the control loop once
+	// what it covers is applied.
+	catchUp func(f func(ok bool))
 	// probe tries a new connection to a daemon.
 	probe func(name ident.Daemon, addr string)
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -58,11 +58,15 @@
 	writer    *disk.Writer
 
 	callers, operators, peering *server.Server
+	// platform is nil unless the settings have one.
+	platform *Platform
 }
 
 // New opens the data folder, if there is one, and starts the control loop and
 // the listeners. Errors carry result codes of the hundreds 1 and 5.
-func New(s settings.Settings, log logr.Logger) (*Daemon, error) {
+//
+// The dialect is used only if the settings have a platform.
+func New(s settings.Settings, log logr.Logger, dialect Dialect) (*Daemon, error) {
 	ctx, halt := context.WithCancel(context.Background())
 	d := &Daemon{
 		settings: s, self: s.Name(), dataCentre: s.DataCentre(), log: log, ctx: ctx, halt: halt,
@@ -78,6 +82,9 @@
 		ctx: ctx, client: peer.NewClient(conns.HTTP(), s.Token()), address: d.peerAddress,
 		queues: make(map[ident.Daemon]chan consensus.Message),
 	}
+	if s.Platform().On() {
+		d.platform = newPlatform(d, dialect)
+	}
 	d.ctl = d.newControl()
 	d.peers.ctl, d.peers.post = d.ctl, d.ctl.post
 	d.proposer = &proposer{
@@ -93,6 +100,9 @@
 		return nil, err
 	}
 	go d.ctl.run(ctx)
+	if d.platform != nil {
+		go d.platform.talk()
+	}
 	return d, nil
 }
 
@@ -130,11 +140,18 @@
 		gauge:         d.gauge,
 		supersede:     d.halt,
 		orders:        newOrders(d),
+		platform:      d.platform,
+		open:          d.settings.Open(),
+		founder:       d.settings.Founder(),
+		reads:         make(map[uint64]chan<- consensus.ReadOutcome),
 	}
 	c.members = membership.New(now, d.membershipConfig(seed))
+	for _, p := range d.settings.Peers() {
+		c.seeds = append(c.seeds, p.String())
+	}
 	c.view = c.state.View()
 	c.permits.heard = now
-	c.send = sender{consensus: d.peers.consensus, witness: d.peers.witness, gossip: d.peers.gossip, permits: d.peers.permits, read: d.readIndex, probe: d.probe}
+	c.send = sender{consensus: d.peers.consensus, witness: d.peers.witness, gossip: d.peers.gossip, permits: d.peers.permits, read: d.readIndex, probe: d.probe, catchUp: d.catchUpThen}
 	return c
 }
 
@@ -150,7 +167,7 @@
 	d.folder = f
 	st := f.State()
 	node := consensus.New(d.clock(), consensus.Settings{
-		Self: f.Voter(), Listed: d.settings.Voters(), Random: cryptoRandom, NewCluster: rand.Text,
+		Self: f.Voter(), Listed: d.settings.Voters(), Open: d.settings.Open(), Random: cryptoRandom, NewCluster: rand.Text,
 	}, st)
 	d.writer = disk.NewWriter(f, d.synced)
 	d.ctl.voter = &voter{node: node, persist: d.writer.Submit}
@@ -219,6 +236,7 @@
 	path, rpc := peer.NewHandler(peer.Service{
 		Consensus: d.consensusReceived, Witness: d.witnessAsked, Gossip: d.gossiped,
 		Propose: d.proposed, Permits: d.permitsAsked,
+		ReadIndex: d.indexRead, Usage: d.usageTold,
 	}, d.settings.Token())
 	passedOn := peer.WithToken(d.settings.Token(), &caller.Handler{
 		Infer: d.infer, Call: d.call, Addresses: d.addresses, Peer: true,
--- a/io/daemon/members.go
+++ b/io/daemon/members.go
@@ -24,6 +24,9 @@
 	for _, p := range s.Peers() {
 		seeds = append(seeds, p.String())
 	}
+	if s.Platform().On() {
+		own.Front = s.Platform().Front().String()
+	}
 	return membership.Config{Own: own, Seeds: seeds, Rand: r}
 }
 
@@ -71,7 +74,7 @@
 	c.daemonTable = make(map[ident.Daemon]daemonInfo, len(daemons))
 	for _, m := range daemons {
 		c.daemonTable[m.Name] = daemonInfo{
-			caller: m.Caller, peer: m.Peer, dataCentre: m.DataCentre, draining: m.Draining,
+			caller: m.Caller, peer: m.Peer, front: m.Front, dataCentre: m.DataCentre, draining: m.Draining,
 			suspected: c.members.Unreachable(m.Name), disk: m.Disk != "",
 		}
 	}
@@ -108,6 +111,9 @@
 		c.known[u.Name] = true
 		delete(gone, u.Name)
 		c.upstreamTable[u.Name] = infoOf(u)
+		if u.Kind == membership.Routed {
+			continue
+		}
 		if u.Kind == membership.PlainService {
 			c.services.Put(routing.ServiceReplica{Upstream: u.Name, Service: u.Service, DataCentre: u.DataCentre, Closed: u.Leaving})
 			continue
@@ -118,6 +124,7 @@
 		c.services.Remove(name)
 		c.directory.Remove(name)
 	}
+	c.replicasChanged(now)
 }
 
 func infoOf(u membership.Upstream) upstreamInfo {
--- /dev/null
+++ b/io/daemon/placer.go
@@ -0,0 +1,397 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"papayaspoke/core/coordination/appoint"
+	"papayaspoke/core/coordination/balance"
+	"papayaspoke/core/coordination/consensus"
+	"papayaspoke/core/coordination/membership"
+	"papayaspoke/core/coordination/placement"
+	"papayaspoke/core/ident"
+	"papayaspoke/core/result"
+	"papayaspoke/core/routes"
+	"papayaspoke/io/gateway"
+)
+
+const (
+	// renewInterval is how often a placer renews its lease.
+	renewInterval = appoint.LeaseFor / 4
+	// usageInterval is how often a daemon talks to the placer, and usagePause
+	// the least time between two such talks.
+	usageInterval = 200 * time.Millisecond
+	usagePause    = 5 * time.Millisecond
+	// usageTimeout bounds one of them.
+	usageTimeout = 300 * time.Millisecond
+	// orderTimeout bounds an order to a replica.
+	orderTimeout = 500 * time.Millisecond
+)
+
+// placing is the part of the control loop that has to do with placement.
+type placing struct {
+	// assigner is nil unless this daemon leads.
+	assigner *appoint.Assigner
+	// placer is nil unless this daemon is in office.
+	placer *placement.Placer
+	lease  appoint.Lease
+	// renewAt is when the lease is renewed, renewing is true meanwhile.
+	renewAt  time.Time
+	renewing bool
+	// named is since when versions of adapters are known here.
+	named map[placement.Weights]gateway.Named
+	// table is the routing table that the replicas were last matched with.
+	table *routes.Table
+}
+
+// tickPlatform brings routes, replicas and placement up to date.
+func (c *control) tickPlatform(now time.Time) {
+	if c.platform == nil {
+		return
+	}
+	c.platform.tableChanged(c.view)
+	c.namedChanged(now)
+	if t := c.platform.gateway.Table(); t != c.placing.table {
+		c.placing.table = t
+		c.replicasChanged(now)
+	}
+	c.appoint(now)
+	c.hold(now)
+	if p := c.placing.placer; p != nil {
+		c.carryOrders(p.Tick(now))
+	}
+}
+
+// appoint lets the leader look after the office of the placer.
+func (c *control) appoint(now time.Time) {
+	if !c.leading() {
+		c.placing.assigner = nil
+		return
+	}
+	if c.placing.assigner == nil {
+		c.placing.assigner = appoint.New(c.platform.Settings().Rival())
+	}
+	if cmd := c.placing.assigner.Step(now, c.view.Placer(), c.candidates()); cmd != nil {
+		c.log.Info("office of the placer", "command", describe(cmd))
+		c.orders.commit(cmd)
+	}
+}
+
+// hold begins and ends this daemon's own term as the placer, and keeps its
+// lease alive.
+func (c *control) hold(now time.Time) {
+	o := c.view.Placer()
+	mine := o.InOffice() && o.Daemon == c.self && o.Incarnation == c.inc && !c.draining
+	switch {
+	case !mine && c.placing.placer != nil:
+		c.log.Info("places no more", "fence", uint64(c.placing.placer.Fence()))
+		c.placing.placer, c.placing.lease = nil, appoint.Lease{}
+	case mine && (c.placing.placer == nil || c.placing.placer.Fence() != o.Fence):
+		c.log.Info("places", "fence", uint64(o.Fence))
+		c.placing.placer = placement.New(o.Fence)
+		c.placing.renewAt = now
+		c.placing.placer.SetNamed(now, c.versions())
+		c.replicasChanged(now)
+	}
+	if mine && !c.placing.renewing && !now.Before(c.placing.renewAt) {
+		c.renew(now)
+	}
+}
+
+func (c *control) renew(now time.Time) {
+	c.placing.renewAt, c.placing.renewing = now.Add(renewInterval), true
+	c.send.catchUp(func(ok bool) {
+		c.placing.renewing = false
+		if ok {
+			c.placing.lease = appoint.Grant(now, c.state.View().Placer(), c.self, c.inc)
+		}
+	})
+}
+
+// versions returns the named versions.
+func (c *control) versions() map[placement.Weights]uint64 {
+	out := make(map[placement.Weights]uint64, len(c.placing.named))
+	for w, n := range c.placing.named {
+		out[w] = n.Version
+	}
+	return out
+}
+
+// namedChanged takes over the versions of adapters that were named.
+func (c *control) namedChanged(now time.Time) {
+	changed := false
+	next := make(map[placement.Weights]gateway.Named)
+	for _, n := range c.view.Namings() {
+		w := placement.Weights{Model: n.Model, Adapter: n.Adapter}
+		old := c.placing.named[w]
+		if old.Version != n.Version {
+			changed = true
+			old = gateway.Named{Version: n.Version, Since: now}
+			c.log.Info("version named", "model", n.Model, "adapter", n.Adapter, "version", n.Version)
+		}
+		next[w] = old
+	}
+	if !changed {
+		return
+	}
+	c.placing.named = next
+	c.platform.gateway.SetNamed(next)
+	if p := c.placing.placer; p != nil {
+		c.carryOrders(p.SetNamed(now, c.versions()))
+	}
+}
+
+// replicasChanged tells gateway and placer which replicas there are.
+func (c *control) replicasChanged(now time.Time) {
+	if c.platform == nil {
+		return
+	}
+	t := c.placing.table
+	var rs []balance.Replica
+	var ps []placement.Replica
+	for _, u := range c.members.Upstreams() {
+		if u.Kind != membership.Routed {
+			continue
+		}
+		rs = append(rs, balance.Replica{
+			Name: u.Name, Incarnation: u.Version.Incarnation, Service: u.Service, Address: u.Address,
+			DataCentre: u.DataCentre, Slots: int(u.Slots), Leaving: u.Leaving,
+		})
+		if t == nil {
+			continue
+		}
+		if s := t.Service(u.Service); s != nil && s.Engine != nil {
+			ps = append(ps, replicaOf(u, s.Engine))
+		}
+	}
+	c.platform.gateway.SetReplicas(rs, len(c.daemons))
+	if p := c.placing.placer; p != nil {
+		c.carryOrders(p.SetReplicas(now, ps))
+	}
+}
+
+func replicaOf(u membership.Upstream, e *routes.Engine) placement.Replica {
+	r := placement.Replica{
+		Name: u.Name, Incarnation: u.Version.Incarnation, Service: u.Service, DataCentre: u.DataCentre,
+		Batch: e.Batch, Places: e.Places, Leaving: u.Leaving,
+	}
+	for _, m := range e.Models {
+		r.Models = append(r.Models, m.Name)
+		r.LoadTime = max(r.LoadTime, m.LoadTime)
+	}
+	return r
+}
+
+// carryOrders carries out what the placer wants done.
+func (c *control) carryOrders(e placement.Effects) {
+	for _, o := range e.Orders {
+		t, ok := c.target(o.Replica)
+		if !ok || t.Incarnation != o.Incarnation {
+			c.post2(func(now time.Time) { c.ordered(now, o, placement.Withheld) })
+			continue
+		}
+		go c.platform.order(t, o, c.placing.placer.Fence())
+	}
+	for _, name := range e.Ask {
+		if t, ok := c.target(name); ok {
+			go c.platform.list(t)
+		}
+	}
+}
+
+// post2 hands f to the loop without blocking it.
+func (c *control) post2(f func(now time.Time)) { go c.post(f) }
+
+func (c *control) target(name ident.Upstream) (Target, bool) {
+	u, ok := c.members.Upstream(name)
+	return Target{Replica: name, Incarnation: u.Version.Incarnation, Address: u.Address}, ok
+}
+
+func (c *control) ordered(now time.Time, o placement.Order, v placement.Verdict) {
+	if p := c.placing.placer; p != nil {
+		c.carryOrders(p.Ordered(now, o, v))
+	}
+}
+
+// order gives an order, if the lease holds right before it is written.
+func (p *Platform) order(t Target, o placement.Order, fence ident.Fence) {
+	v := placement.Withheld
+	var lease appoint.Lease
+	ctx, cancel := context.WithTimeout(p.d.ctx, orderTimeout)
+	defer cancel()
+	if err := p.d.ctl.call(ctx, func(time.Time) { lease = p.d.ctl.placing.lease }); err == nil &&
+		lease.Fence() == fence && lease.Holds(p.d.clock()) {
+		v = p.dialect.Order(ctx, p.replicas, t, o, p.d.self, fence)
+	}
+	if v != placement.Begun && v != placement.Done {
+		p.d.log.Info("order not carried out", "replica", t.Replica, "adapter", o.Weights.Adapter, "load", o.Load, "verdict", v.String())
+	} else {
+		p.d.log.V(1).Info("order", "replica", t.Replica, "adapter", o.Weights.Adapter, "load", o.Load, "version", o.Version, "verdict", v.String())
+	}
+	p.d.ctl.post(func(now time.Time) { p.d.ctl.ordered(now, o, v) })
+}
+
+// list asks a replica what it holds.
+func (p *Platform) list(t Target) {
+	ctx, cancel := context.WithTimeout(p.d.ctx, orderTimeout)
+	defer cancel()
+	asked := p.d.clock()
+	hs, err := p.dialect.Listing(ctx, p.replicas, t)
+	if err != nil {
+		p.d.log.V(1).Info("replica does not say what it holds", "replica", t.Replica, "error", err.Error())
+		return
+	}
+	l := placement.Listing{Replica: t.Replica, Incarnation: t.Incarnation, MadeAt: asked.Add(-listingAge), Holdings: hs}
+	p.d.ctl.post(func(now time.Time) {
+		if x := p.d.ctl.placing.placer; x != nil {
+			p.d.ctl.carryOrders(x.Listed(now, l))
+		}
+	})
+}
+
+// usageTold serves the word of a daemon to the placer.
+func (d *Daemon) usageTold(ctx context.Context, u placement.Usage) (placement.Answer, bool) {
+	var a placement.Answer
+	var ok bool
+	err := d.ctl.call(ctx, func(now time.Time) {
+		p := d.ctl.placing.placer
+		if p == nil {
+			return
+		}
+		ok = true
+		var e placement.Effects
+		a, e = p.Use(now, u)
+		d.ctl.carryOrders(e)
+	})
+	return a, ok && err == nil
+}
+
+// talk tells the placer what happens here, for as long as the daemon lives.
+func (p *Platform) talk() {
+	timer := time.NewTimer(usageInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-p.d.ctx.Done():
+			return
+		case <-timer.C:
+		case <-p.gateway.Wanted():
+		}
+		p.tellPlacer()
+		if !pause(p.d.ctx, usagePause) {
+			return
+		}
+		timer.Reset(usageInterval)
+	}
+}
+
+func (p *Platform) tellPlacer() {
+	office := p.d.view.Load().state.Placer()
+	if !office.InOffice() {
+		return
+	}
+	u := p.gateway.Usage()
+	u.Daemon = p.d.self
+	ctx, cancel := context.WithTimeout(p.d.ctx, usageTimeout)
+	defer cancel()
+	if err := p.d.ctl.call(ctx, func(time.Time) { u.Listings, p.d.ctl.listings = p.d.ctl.listings, nil }); err != nil {
+		return
+	}
+	a, ok := p.d.askPlacer(ctx, office.Daemon, u)
+	if ok {
+		p.gateway.SetAnswer(a)
+	}
+}
+
+func (d *Daemon) askPlacer(ctx context.Context, name ident.Daemon, u placement.Usage) (placement.Answer, bool) {
+	if name == d.self {
+		return d.usageTold(ctx, u)
+	}
+	addr, ok := d.peerAddress(name)
+	if !ok {
+		return placement.Answer{}, false
+	}
+	a, ok, err := d.peers.client.Usage(ctx, addr, u)
+	if err != nil {
+		d.log.V(1).Info("the placer does not answer", "placer", name, "error", err.Error())
+	}
+	return a, ok && err == nil
+}
+
+// indexRead serves a linearizable read, if this daemon leads.
+func (d *Daemon) indexRead(ctx context.Context) (uint64, bool) {
+	reply := make(chan consensus.ReadOutcome, 1)
+	d.ctl.post(func(now time.Time) {
+		if !d.ctl.leading() {
+			reply <- consensus.ReadOutcome{}
+			return
+		}
+		d.ctl.proposals.last++
+		d.ctl.reads[d.ctl.proposals.last] = reply
+		d.ctl.stepVoter(now, consensus.Read(d.ctl.proposals.last))
+	})
+	select {
+	case r := <-reply:
+		return r.Index, r.OK
+	case <-ctx.Done():
+		return 0, false
+	}
+}
+
+// catchUp makes a linearizable read through the leader and waits until this
+// daemon has applied what it covers.
+func (d *Daemon) catchUp(ctx context.Context) (uint64, error) {
+	index, ok := d.readThrough(ctx)
+	if !ok {
+		return 0, result.New(result.NotFresh, "no leader has confirmed a read").WithRetryAfter(d.clock().Add(time.Second))
+	}
+	for d.view.Load().state.Index() < index {
+		if !pause(ctx, catchUpPoll) {
+			return 0, result.New(result.NotFresh, "index %d is not applied yet", index).WithRetryAfter(d.clock().Add(time.Second))
+		}
+	}
+	return index, nil
+}
+
+// catchUpPoll is how often a reader looks whether the log was applied.
+const catchUpPoll = 10 * time.Millisecond
+
+func (d *Daemon) readThrough(ctx context.Context) (uint64, bool) {
+	v := d.view.Load()
+	if v.leader == d.self {
+		return d.indexRead(ctx)
+	}
+	names := d.leaderCandidates()
+	if v.leader != "" {
+		names = append([]ident.Daemon{v.leader}, names...)
+	}
+	for _, name := range names {
+		addr, ok := d.peerAddress(name)
+		if !ok || name == d.self || v.daemons[name].suspected {
+			continue
+		}
+		one, cancel := context.WithTimeout(ctx, readTimeout)
+		index, ok, err := d.peers.client.ReadIndex(one, addr)
+		cancel()
+		if err == nil && ok {
+			d.ctl.post(func(time.Time) { d.ctl.leader = name })
+			return index, true
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return 0, false
+}
+
+// readTimeout bounds a read through one daemon.
+const readTimeout = 250 * time.Millisecond
+
+func (d *Daemon) catchUpThen(f func(ok bool)) {
+	go func() {
+		ctx, cancel := context.WithTimeout(d.ctx, exchangeTimeout)
+		defer cancel()
+		_, err := d.catchUp(ctx)
+		d.ctl.post(func(time.Time) { f(err == nil) })
+	}()
+}
--- a/io/daemon/tick.go
+++ b/io/daemon/tick.go
@@ -29,6 +29,8 @@
 	if c.membersDirty {
 		c.membersChanged(now)
 	}
+	c.tickPlatform(now)
+	c.tickOpen(now)
 	c.stepOwnership(now)
 	c.tickOwned(now)
 	c.ensureWitnesses(now)
--- a/io/daemon/view.go
+++ b/io/daemon/view.go
@@ -30,8 +30,10 @@
 // daemonInfo is what others need to know of a daemon.
 type daemonInfo struct {
 	caller, peer string
-	dataCentre   ident.DataCentre
-	draining     bool
+	// front is where clients of the platform connect, or empty.
+	front      string
+	dataCentre ident.DataCentre
+	draining   bool
 	// suspected is true if new connections to it fail.
 	suspected bool
 	disk      bool
--- a/io/daemon/voter.go
+++ b/io/daemon/voter.go
@@ -64,6 +64,11 @@
 }
 
 func (c *control) readDone(now time.Time, r consensus.ReadOutcome) {
+	if reply := c.reads[r.Number]; reply != nil {
+		delete(c.reads, r.Number)
+		reply <- r
+		return
+	}
 	c.voter.readAsked = false
 	if r.OK {
 		c.stepWitness(now, witness.LinearizableRead{Index: r.Index})
--- /dev/null
+++ b/io/gateway/acquire.go
@@ -0,0 +1,157 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"papayaspoke/core/coordination/balance"
+	"papayaspoke/core/ident"
+	"papayaspoke/core/result"
+)
+
+const (
+	// lookAgain is how often a waiting request looks for a replica even if
+	// nothing has changed: replicas come back from ejection by time alone.
+	lookAgain = 50 * time.Millisecond
+	// waitShare is the part of a request's time that it waits for a replica at
+	// most, and waitMost bounds it: the client is better served by coming
+	// back than by hearing late that nothing was possible.
+	waitShare = 0.5
+	waitMost  = 4 * time.Second
+	// nobodyMost is how long a request waits for a service without replicas.
+	nobodyMost = time.Second
+)
+
+// acquire chooses a replica, and waits for one if need be. The error says
+// that the request was not sent.
+func (x *exchange) acquire(ctx context.Context) (balance.Choice, error) {
+	begun := x.g.Clock()
+	var asked bool
+	defer func() {
+		if asked {
+			x.g.unwant(x)
+		}
+	}()
+	for {
+		c, miss, at, changed := x.g.pick(x)
+		if miss == balance.Found {
+			return c, nil
+		}
+		if miss == balance.Absent && !asked {
+			asked = true
+			x.g.want(x)
+		}
+		x.waited = miss
+		if err := x.await(ctx, begun, miss, at, changed); err != nil {
+			return c, err
+		}
+	}
+}
+
+// await waits until it is worth to look again.
+func (x *exchange) await(ctx context.Context, begun time.Time, miss balance.Miss, at time.Time, changed <-chan struct{}) error {
+	now := x.g.Clock()
+	end := begun.Add(min(time.Duration(waitShare*float64(x.deadline.Sub(begun))), waitMost))
+	if miss == balance.Nobody {
+		end = earlier(end, begun.Add(nobodyMost))
+	}
+	if !now.Before(end) {
+		return x.notPlaced(miss)
+	}
+	until := earlier(end, now.Add(lookAgain))
+	if !at.IsZero() {
+		until = earlier(until, at)
+	}
+	t := time.NewTimer(max(until.Sub(now), time.Millisecond))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		if x.g.Clock().Before(x.deadline) {
+			return errClientGone
+		}
+		return x.notPlaced(miss)
+	case <-t.C:
+	case <-changed:
+	}
+	return nil
+}
+
+func (x *exchange) notPlaced(miss balance.Miss) error {
+	back := x.g.Clock().Add(refusalPause)
+	if miss == balance.Absent || miss == balance.Coming {
+		return result.New(result.NotResident, "%s/%s was not loaded in time", x.r.Weights.Model, x.r.Weights.Adapter).WithRetryAfter(back)
+	}
+	return result.New(result.NoUpstream, "service %q: %s", x.service.Name, miss).WithRetryAfter(back)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// pick chooses a replica; the channel is closed when more may be possible.
+func (g *Gateway) pick(x *exchange) (balance.Choice, balance.Miss, time.Time, <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	q := balance.Query{Service: x.service.Name, Weights: x.r.Weights, Version: x.version, Exclude: x.tried}
+	if x.service.Connections > 0 {
+		q.Most = max(minConnections, x.service.Connections/max(g.daemons, 1))
+	}
+	c, miss, at := g.balancer.Pick(g.Clock(), q)
+	if miss != balance.Found && len(x.tried) > 0 {
+		// One that was tried is better than none.
+		q.Exclude = nil
+		if again, m, when := g.balancer.Pick(g.Clock(), q); m <= miss {
+			c, miss, at = again, m, when
+		}
+	}
+	return c, miss, at, g.changed
+}
+
+// minConnections is how many connections to one replica a daemon may have
+// however many daemons share the replica's bound.
+const minConnections = 4
+
+// want counts a request that waits for weights.
+func (g *Gateway) want(x *exchange) {
+	g.mu.Lock()
+	d := g.demands[x.r.Weights]
+	if d == nil {
+		d = &demand{}
+		g.demands[x.r.Weights] = d
+	}
+	d.service, d.version = x.service.Name, max(d.version, x.version)
+	d.waiting++
+	g.mu.Unlock()
+	g.tell()
+}
+
+func (g *Gateway) unwant(x *exchange) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if d := g.demands[x.r.Weights]; d != nil && d.waiting > 0 {
+		d.waiting--
+	}
+}
+
+// missed notes that a replica does not hold what it should.
+func (g *Gateway) missed(x *exchange, name ident.Upstream) {
+	g.mu.Lock()
+	d := g.demands[x.r.Weights]
+	if d == nil {
+		d = &demand{service: x.service.Name, version: x.version}
+		g.demands[x.r.Weights] = d
+	}
+	d.missed = name
+	g.mu.Unlock()
+	g.tell()
+}
+
+func (g *Gateway) tell() {
+	select {
+	case g.wanted <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/io/gateway/exchange.go
@@ -0,0 +1,307 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"papayaspoke/core/coordination/balance"
+	"papayaspoke/core/ident"
+	"papayaspoke/core/result"
+	"papayaspoke/core/routes"
+	"papayaspoke/io/transport/client"
+	"papayaspoke/io/transport/server"
+)
+
+const (
+	// maxSends bounds how often one request is sent, counting those that
+	// replicas refused.
+	maxSends = 4
+	// maxAnswer is the largest answer that is kept whole before it is passed
+	// on; larger ones are passed on as they come.
+	maxAnswer = 1 << 20
+	// minLeft is how much time must be left for another send to make sense.
+	minLeft = 20 * time.Millisecond
+)
+
+var errClientGone = errors.New("the client is gone")
+
+// exchange is one request on its way.
+type exchange struct {
+	g        *Gateway
+	w        http.ResponseWriter
+	r        Request
+	route    *routes.Route
+	service  *routes.Service
+	deadline time.Time
+	// version is the least version of an adapter that will do.
+	version uint64
+
+	tried []ident.Upstream
+	// sends counts what may have reached a replica, runs what may have run.
+	sends, runs int
+	waited      balance.Miss
+	// headSent is true once the head of an answer was passed on.
+	headSent bool
+	// last is the number of the last event passed on, or what the client had.
+	last string
+	// failed is the last failure after which the request may have run.
+	failed *result.Error
+
+	// The rest is for logs and metrics.
+	code    result.Code
+	replica ident.Upstream
+	firstAt time.Time
+}
+
+// verdict is what becomes of a request after an attempt.
+type verdict uint8
+
+const (
+	// finished requests have their answer.
+	finished verdict = iota
+	// again means that another replica may be tried.
+	again
+	// givenUp requests get an error.
+	givenUp
+)
+
+// run sends the request until it has its final answer.
+func (x *exchange) run(ctx context.Context) {
+	x.last = x.r.LastEvent
+	for {
+		c, err := x.acquire(ctx)
+		if err != nil {
+			x.end(err)
+			return
+		}
+		v, err := x.attempt(ctx, c)
+		if v == finished {
+			return
+		}
+		if v == givenUp || !x.mayGoOn(ctx) {
+			x.end(err)
+			return
+		}
+		x.tried = append(x.tried, c.Replica.Name)
+		x.g.Log.Info("sent again", "request", x.r.ID, "after", c.Replica.Name, "sends", x.sends, "cause", err.Error())
+	}
+}
+
+// mayGoOn reports whether another send is allowed.
+func (x *exchange) mayGoOn(ctx context.Context) bool {
+	if ctx.Err() != nil || x.deadline.Sub(x.g.Clock()) < minLeft || x.sends >= maxSends {
+		return false
+	}
+	if x.runs > 0 && (!x.route.Repeatable() || x.runs >= max(x.route.Attempts, 1)) {
+		return false
+	}
+	return x.sends == 0 || x.g.mayRepeat(x.service.Name)
+}
+
+// end answers with an error, or cuts an answer that has begun.
+func (x *exchange) end(err error) {
+	if errors.Is(err, errClientGone) {
+		x.log("client gone", nil)
+		server.Cut(x.w)
+		return
+	}
+	e := result.From(err)
+	if x.failed != nil && result.Lookup(e.Code()).NotRun {
+		e = x.failed
+	}
+	x.code = e.Code()
+	x.log("failed", e)
+	if x.headSent {
+		server.Cut(x.w)
+		return
+	}
+	x.g.Dialect.Refuse(x.w, e, x.g.Clock())
+}
+
+// log writes the line that tells how the request ended.
+func (x *exchange) log(how string, err *result.Error) {
+	now := x.g.Clock()
+	fields := []any{
+		"request", x.r.ID, "route", x.route.Name, "replica", x.replica, "sends", x.sends,
+		"took", now.Sub(x.r.Arrival).Milliseconds(), "left", x.deadline.Sub(now).Milliseconds(),
+	}
+	if x.waited != balance.Found {
+		fields = append(fields, "waited", x.waited.String())
+	}
+	if err != nil {
+		fields = append(fields, "code", int(err.Code()), "error", err.Error())
+	}
+	x.g.Log.Info(how, fields...)
+}
+
+func (x *exchange) observe() {
+	o := Observation{
+		Route: x.route.Name, Code: x.code, Replica: x.replica, Sends: x.sends,
+		Whole: x.g.Clock().Sub(x.r.Arrival),
+	}
+	if !x.firstAt.IsZero() {
+		o.First = x.firstAt.Sub(x.r.Arrival)
+	}
+	x.g.Observe(o)
+}
+
+// attempt sends the request to one replica and passes its answer on. The
+// error belongs to the verdicts again and givenUp.
+func (x *exchange) attempt(ctx context.Context, c balance.Choice) (verdict, error) {
+	begun := x.g.Clock()
+	outcome := balance.Neutral
+	defer func() { x.g.done(c, outcome, x.g.Clock().Sub(begun)) }()
+	x.replica = c.Replica.Name
+	x.g.Log.V(1).Info("sent", "request", x.r.ID, "replica", c.Replica.Name, "load", c.Load, "age", begun.Sub(c.LoadAt).Milliseconds())
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	a, err := x.g.Client.Send(ctx, x.outgoing(c, begun))
+	if err != nil {
+		var v verdict
+		v, outcome, err = x.unanswered(ctx, err)
+		return v, err
+	}
+	x.sends++
+	h := x.g.Dialect.Read(a.Status(), a.Header())
+	if h.ID != x.r.ID && (h.ID != "" || !h.NotRun) {
+		a.Discard()
+		outcome = balance.Faulty
+		return x.ran(result.New(result.WrongAnswer, "replica %s answered request %q", c.Replica.Name, h.ID))
+	}
+	if h.NotRun {
+		return x.rejected(c, a, h)
+	}
+	x.runs++
+	var v verdict
+	v, outcome, err = x.deliver(ctx, a, h)
+	return v, err
+}
+
+func (x *exchange) outgoing(c balance.Choice, now time.Time) client.Exchange {
+	h := x.r.Header.Clone()
+	x.g.Dialect.Prepare(h, Send{
+		Replica: c.Replica.Name, Left: x.deadline.Sub(now), Version: x.version,
+		Priority: x.route.Priority, LastEvent: x.last,
+	})
+	return client.Exchange{
+		Method: x.r.Method, URL: "http://" + c.Replica.Address, Target: x.r.Target, Host: x.r.Host,
+		Header: h, Body: x.r.Body, Idempotent: x.route.Repeatable() && len(x.tried) == 0,
+	}
+}
+
+// unanswered handles a send that brought no answer.
+func (x *exchange) unanswered(ctx context.Context, err error) (verdict, balance.Outcome, error) {
+	var f *client.Failure
+	sent := !errors.As(err, &f) || f.Sent()
+	if sent {
+		x.sends++
+		x.runs++
+	}
+	if ctx.Err() != nil {
+		if x.g.Clock().Before(x.deadline) {
+			return givenUp, balance.Neutral, errClientGone
+		}
+		if !sent {
+			return givenUp, balance.Unreachable, result.New(result.DeadlineHopeless, "no replica could be reached in time: %w", err)
+		}
+		x.failed = result.New(result.TimedOut, "replica %s has not answered", x.replica)
+		return givenUp, balance.Faulty, x.failed
+	}
+	if !sent {
+		return again, balance.Unreachable, result.New(result.NoUpstream, "replica %s: %w", x.replica, err).WithRetryAfter(x.g.Clock().Add(refusalPause))
+	}
+	v, ferr := x.failure(result.New(result.UpstreamFailed, "replica %s: %w", x.replica, err))
+	if f != nil && f.Fresh() {
+		return v, balance.Unreachable, ferr
+	}
+	return v, balance.Neutral, ferr
+}
+
+// ran handles a failure of an answer whose request may have run.
+func (x *exchange) ran(e *result.Error) (verdict, error) {
+	x.runs++
+	return x.failure(e)
+}
+
+func (x *exchange) failure(e *result.Error) (verdict, error) {
+	x.failed = e
+	if x.route.Repeatable() {
+		return again, e
+	}
+	return givenUp, e
+}
+
+// rejected handles the word of a replica that it did not run the request.
+func (x *exchange) rejected(c balance.Choice, a *client.Answer, h Head) (verdict, error) {
+	_, err := a.ReadAll(maxAnswer)
+	if err != nil {
+		a.Discard()
+	}
+	if h.Absent {
+		x.g.missed(x, c.Replica.Name)
+	}
+	return again, result.New(result.NoUpstream, "replica %s refused it with status %d", c.Replica.Name, a.Status()).WithRetryAfter(x.g.Clock().Add(refusalPause))
+}
+
+// deliver passes an answer on.
+func (x *exchange) deliver(ctx context.Context, a *client.Answer, h Head) (verdict, balance.Outcome, error) {
+	if x.route.Kind == routes.Stream && isEvents(a.Header()) && a.Status() == http.StatusOK {
+		return x.relay(ctx, a)
+	}
+	body, err := a.ReadAll(maxAnswer)
+	if err != nil {
+		a.Discard()
+		if ctx.Err() != nil && x.g.Clock().Before(x.deadline) {
+			return givenUp, balance.Neutral, errClientGone
+		}
+		v, ferr := x.failure(result.New(result.UpstreamFailed, "replica %s: %w", x.replica, err))
+		return v, balance.Faulty, ferr
+	}
+	_ = a.Body().Close()
+	outcome := balance.Good
+	if a.Status() >= http.StatusInternalServerError {
+		outcome = balance.Faulty
+		if x.route.Repeatable() && !x.headSent && x.runs < x.route.Attempts {
+			x.failed = result.New(result.UpstreamFailed, "replica %s: status %d", x.replica, a.Status())
+			if x.mayGoOn(ctx) {
+				return again, outcome, x.failed
+			}
+		}
+	}
+	if x.headSent {
+		// The answer to a resumed stream is no stream.
+		return givenUp, outcome, result.New(result.StreamCut, "replica %s did not go on: status %d", x.replica, a.Status())
+	}
+	x.firstAt = x.g.Clock()
+	copyHeader(x.w.Header(), a.Header())
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.w.WriteHeader(a.Status())
+	if _, err := x.w.Write(body); err != nil {
+		x.log("client gone", nil)
+		return finished, outcome, nil
+	}
+	x.log("answered", nil)
+	return finished, outcome, nil
+}
+
+// perConnection are the headers that concern one connection only.
+var perConnection = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
+}
+
+// copyHeader copies the headers that are passed on.
+func copyHeader(to, from http.Header) {
+	for k, vs := range from {
+		if !perConnection[k] {
+			to[k] = vs
+		}
+	}
+}
+
+// PerConnection reports whether a header concerns one connection only; the
+// name is in its canonical form.
+func PerConnection(name string) bool { return perConnection[name] }
--- /dev/null
+++ b/io/gateway/gateway.go
@@ -0,0 +1,314 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"papayaspoke/core/coordination/balance"
+	"papayaspoke/core/coordination/placement"
+	"papayaspoke/core/ident"
+	"papayaspoke/core/result"
+	"papayaspoke/core/routes"
+	"papayaspoke/io/transport/client"
+)
+
+// Request is a request of a client.
+type Request struct {
+	// ID is the client's own id of this attempt, possibly empty.
+	ID                   string
+	Method, Host, Target string
+	// Path is the target's path without its query.
+	Path string
+	// Header is what is sent on to the replica; it belongs to the request.
+	Header http.Header
+	Body   []byte
+	// Arrival is when the request had arrived whole.
+	Arrival time.Time
+	// Deadline is when the client gives up; zero if it did not say.
+	Deadline time.Time
+	// Weights are the model and adapter asked for, zero if none.
+	Weights placement.Weights
+	// LastEvent is the number of the last event that the client has, from a
+	// stream that was cut; empty if it asks for all.
+	LastEvent string
+}
+
+// Send is what a dialect adds to a request on its way to a replica.
+type Send struct {
+	Replica ident.Upstream
+	// Left is how long the client still waits.
+	Left time.Duration
+	// Version is the version that the adapter must have, 0 for any.
+	Version uint64
+	// Priority ranks the request at the replica; 0 is the most urgent.
+	Priority int
+	// LastEvent is the number of the last event that the client has.
+	LastEvent string
+}
+
+// Head is what a dialect reads from the head of a replica's answer.
+type Head struct {
+	// ID is the id of the request that the answer is for, empty if it names
+	// none.
+	ID string
+	// NotRun is true if the replica says that it did not run the request.
+	NotRun bool
+	// Absent is true if it does not hold what was asked for, or is another
+	// replica than the one meant.
+	Absent bool
+	// Made is true if the answer is the work of a run.
+	Made bool
+}
+
+// Dialect maps to and from the headers that replicas speak.
+type Dialect struct {
+	Prepare func(h http.Header, s Send)
+	Read    func(status int, h http.Header) Head
+	// Refuse answers a client with an error of the system's own.
+	Refuse func(w http.ResponseWriter, err *result.Error, now time.Time)
+}
+
+// Config is what a [Gateway] is made from.
+type Config struct {
+	DataCentre ident.DataCentre
+	Client     *client.Client
+	Dialect    Dialect
+	Log        logr.Logger
+	Retries    balance.Allowance
+	Clock      func() time.Time
+	// Observe is told of every finished request.
+	Observe func(o Observation)
+}
+
+// Observation is what metrics learn of one request.
+type Observation struct {
+	Route string
+	Code  result.Code
+	// Replica is the one that answered, empty if none did.
+	Replica ident.Upstream
+	// First is the time to the first byte of the answer, Whole that to its
+	// end.
+	First, Whole time.Duration
+	Sends        int
+}
+
+// demand is what requests of one daemon wait for.
+type demand struct {
+	service ident.Service
+	version uint64
+	waiting int
+	missed  ident.Upstream
+}
+
+// Gateway is used by many goroutines.
+type Gateway struct {
+	Config
+
+	table atomic.Pointer[routes.Table]
+	named atomic.Pointer[map[placement.Weights]Named]
+	// wanted has room for one: it tells that somebody waits.
+	wanted   chan struct{}
+	draining atomic.Bool
+
+	mu       sync.Mutex
+	balancer *balance.Balancer
+	retries  map[ident.Service]*balance.Retries
+	demands  map[placement.Weights]*demand
+	// daemons is how many daemons share the allowance of retries.
+	daemons int
+	// changed is closed and replaced whenever more may be possible.
+	changed chan struct{}
+}
+
+// Named is a version that was named for an adapter.
+type Named struct {
+	Version uint64
+	// Since is when this daemon learned of it.
+	Since time.Time
+}
+
+// New returns a gateway that knows no routes and no replicas.
+func New(c Config) *Gateway {
+	g := &Gateway{
+		Config: c, wanted: make(chan struct{}, 1), changed: make(chan struct{}),
+		balancer: balance.New(c.DataCentre),
+		retries:  make(map[ident.Service]*balance.Retries),
+		demands:  make(map[placement.Weights]*demand),
+	}
+	g.named.Store(&map[placement.Weights]Named{})
+	return g
+}
+
+// SetTable puts a routing table in force.
+func (g *Gateway) SetTable(t *routes.Table) { g.table.Store(t) }
+
+// Table returns the routing table in force, nil if there is none yet.
+func (g *Gateway) Table() *routes.Table { return g.table.Load() }
+
+// SetNamed tells which versions of adapters are to be used.
+func (g *Gateway) SetNamed(named map[placement.Weights]Named) { g.named.Store(&named) }
+
+// SetReplicas tells which replicas there are, and how many daemons share the
+// allowance of retries.
+func (g *Gateway) SetReplicas(rs []balance.Replica, daemons int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.SetReplicas(rs)
+	g.daemons = daemons
+	g.wake()
+}
+
+// SetAnswer takes in what the placer said.
+func (g *Gateway) SetAnswer(a placement.Answer) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.balancer.SetAnswer(g.Clock(), a) {
+		g.wake()
+	}
+}
+
+// wake lets waiting requests look again. The mutex is held.
+func (g *Gateway) wake() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// Wanted is readable after requests have begun to wait for weights.
+func (g *Gateway) Wanted() <-chan struct{} { return g.wanted }
+
+// Usage returns what to tell the placer.
+func (g *Gateway) Usage() placement.Usage {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	u := g.balancer.Usage()
+	for w, d := range g.demands {
+		u.Demands = append(u.Demands, placement.Demand{
+			Service: d.service, Weights: w, Version: d.version, Waiting: d.waiting, Missed: d.missed,
+		})
+		d.missed = ""
+		if d.waiting == 0 {
+			delete(g.demands, w)
+		}
+	}
+	return u
+}
+
+// State is what the gateway knows, for the dump of state.
+type State struct {
+	Routing  uint64
+	Routes   int
+	HeardAt  time.Time
+	Waiting  int
+	Ejected  []ident.Upstream
+	Retries  map[ident.Service]int
+	Replicas int
+}
+
+// State returns what the gateway knows.
+func (g *Gateway) State() State {
+	now := g.Clock()
+	s := State{Retries: make(map[ident.Service]int)}
+	if t := g.table.Load(); t != nil {
+		s.Routing, s.Routes = t.Version(), t.Len()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s.HeardAt, s.Ejected = g.balancer.HeardAt(), g.balancer.Ejected(now)
+	for _, d := range g.demands {
+		s.Waiting += d.waiting
+	}
+	for name, r := range g.retries {
+		s.Retries[name] = r.Left(now, g.daemons)
+	}
+	return s
+}
+
+// Drain makes the gateway refuse new requests, as not run.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+// Serve answers one request of a client. The context ends when the client is
+// gone.
+func (g *Gateway) Serve(ctx context.Context, w http.ResponseWriter, r Request) {
+	t := g.table.Load()
+	if t == nil {
+		g.refuse(w, r, result.New(result.NoRouting, "this daemon has not learned the routing document yet").WithRetryAfter(g.Clock().Add(refusalPause)))
+		return
+	}
+	rt := t.Lookup(r.Host, r.Path)
+	if rt == nil {
+		g.refuse(w, r, result.New(result.NoRoute, "%s%s in version %d", r.Host, r.Path, t.Version()))
+		return
+	}
+	if g.draining.Load() {
+		g.refuse(w, r, result.New(result.Draining, "the daemon stops").WithRetryAfter(g.Clock()))
+		return
+	}
+	x := &exchange{
+		g: g, w: w, r: r, route: rt, service: t.Service(rt.Pick(rand.Float64())),
+		deadline: r.Arrival.Add(rt.Timeout),
+		version:  g.versionOf(r.Weights),
+	}
+	if !r.Deadline.IsZero() && r.Deadline.Before(x.deadline) {
+		x.deadline = r.Deadline
+	}
+	if r.Weights.Model != "" && x.service.Engine == nil {
+		x.r.Weights = placement.Weights{}
+	}
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
+	g.request(x.service.Name)
+	x.run(ctx)
+	x.observe()
+}
+
+// refusalPause is when a client that was refused may come back: by then the
+// table or a replica may have turned up.
+const refusalPause = 500 * time.Millisecond
+
+func (g *Gateway) refuse(w http.ResponseWriter, r Request, err *result.Error) {
+	g.Log.Info("refused", "request", r.ID, "code", int(err.Code()), "error", err.Error())
+	g.Dialect.Refuse(w, err, g.Clock())
+	g.Observe(Observation{Code: err.Code(), Whole: g.Clock().Sub(r.Arrival)})
+}
+
+// graceOfVersion is how long an older version of an adapter may still be used
+// after a new one was named: the new one has to be fetched first.
+const graceOfVersion = 2500 * time.Millisecond
+
+// versionOf returns the least version of an adapter that will do.
+func (g *Gateway) versionOf(w placement.Weights) uint64 {
+	n, ok := (*g.named.Load())[w]
+	if !ok || g.Clock().Sub(n.Since) < graceOfVersion {
+		return 0
+	}
+	return n.Version
+}
+
+func (g *Gateway) request(s ident.Service) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.retries[s]
+	if r == nil {
+		r = balance.NewRetries(g.Clock(), g.Retries)
+		g.retries[s] = r
+	}
+	r.Request(g.Clock())
+}
+
+// mayRepeat takes one repeat from the allowance of a service.
+func (g *Gateway) mayRepeat(s ident.Service) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.retries[s].Take(g.Clock(), g.daemons)
+}
+
+func (g *Gateway) done(c balance.Choice, o balance.Outcome, took time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.Done(g.Clock(), c, o, took)
+}
--- /dev/null
+++ b/io/gateway/relay.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"papayaspoke/core/coordination/balance"
+	"papayaspoke/core/result"
+	"papayaspoke/io/transport/client"
+)
+
+const (
+	// readSize is how much of a stream is read at a time.
+	readSize = 4 << 10
+	// maxEvent is the largest event of a stream.
+	maxEvent = 1 << 20
+)
+
+func isEvents(h http.Header) bool {
+	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
+}
+
+// relay passes a stream of events on. Only whole events are passed on.
+func (x *exchange) relay(ctx context.Context, a *client.Answer) (verdict, balance.Outcome, error) {
+	e := events{last: x.last, resumed: x.headSent}
+	buf := make([]byte, readSize)
+	for {
+		n, rerr := a.Body().Read(buf)
+		if n > 0 {
+			whole, err := e.add(buf[:n])
+			if err != nil {
+				a.Discard()
+				return x.broken(ctx, err)
+			}
+			if len(whole) > 0 {
+				if werr := x.pass(a, whole); werr != nil {
+					a.Discard()
+					return givenUp, balance.Neutral, errClientGone
+				}
+				x.last = e.last
+			}
+		}
+		if rerr == nil {
+			continue
+		}
+		if errors.Is(rerr, io.EOF) && e.rest() == 0 {
+			return x.ended(a)
+		}
+		a.Discard()
+		return x.broken(ctx, rerr)
+	}
+}
+
+// pass writes whole events to the client, after the head of the first answer.
+func (x *exchange) pass(a *client.Answer, whole []byte) error {
+	x.head(a)
+	if _, err := x.w.Write(whole); err != nil {
+		return err
+	}
+	if f, ok := x.w.(http.Flusher); ok {
+		f.Flush()
+	}
+	return nil
+}
+
+// head passes the head of an answer on, once.
+func (x *exchange) head(a *client.Answer) {
+	if x.headSent {
+		return
+	}
+	x.headSent, x.firstAt = true, x.g.Clock()
+	copyHeader(x.w.Header(), a.Header())
+	x.w.WriteHeader(a.Status())
+}
+
+// ended handles the regular end of a stream.
+func (x *exchange) ended(a *client.Answer) (verdict, balance.Outcome, error) {
+	_ = a.Body().Close()
+	x.head(a)
+	x.log("answered", nil)
+	return finished, balance.Good, nil
+}
+
+// broken handles a stream that ended early.
+func (x *exchange) broken(ctx context.Context, err error) (verdict, balance.Outcome, error) {
+	if ctx.Err() != nil {
+		if x.g.Clock().Before(x.deadline) {
+			return givenUp, balance.Neutral, errClientGone
+		}
+		return givenUp, balance.Neutral, result.New(result.TimedOut, "replica %s has not finished", x.replica)
+	}
+	v, ferr := x.failure(result.New(result.StreamCut, "replica %s: %w", x.replica, err))
+	return v, balance.Faulty, ferr
+}
+
+// events finds whole events in a stream and checks their numbers.
+type events struct {
+	// pending is the part of an event that has arrived.
+	pending []byte
+	// last is the number of the last whole event.
+	last string
+	// resumed is true if the next event must follow last.
+	resumed bool
+}
+
+var errNotNext = errors.New("the replica did not go on with the next event")
+
+// add takes in bytes and returns the events that are whole now. What it
+// returns is valid until the next call.
+func (e *events) add(b []byte) ([]byte, error) {
+	e.pending = append(e.pending, b...)
+	end := bytes.LastIndex(e.pending, []byte("\n\n"))
+	if end < 0 {
+		if len(e.pending) > maxEvent {
+			return nil, errors.New("an event is too large")
+		}
+		return nil, nil
+	}
+	whole := bytes.Clone(e.pending[:end+2])
+	e.pending = append(e.pending[:0], e.pending[end+2:]...)
+	for event := range bytes.SplitSeq(whole, []byte("\n\n")) {
+		id, ok := idOf(event)
+		if !ok {
+			continue
+		}
+		if e.resumed && !follows(e.last, id) {
+			return nil, errNotNext
+		}
+		e.resumed = false
+		e.last = id
+	}
+	return whole, nil
+}
+
+// rest returns how many bytes of an unfinished event there are.
+func (e *events) rest() int { return len(e.pending) }
+
+// idOf returns the number of an event.
+func idOf(event []byte) (string, bool) {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(v)), true
+		}
+	}
+	return "", false
+}
+
+// follows reports whether next is the number after last.
+func follows(last, next string) bool {
+	a, err1 := strconv.ParseInt(last, 10, 64)
+	b, err2 := strconv.ParseInt(next, 10, 64)
+	return err1 == nil && err2 == nil && b == a+1
+}
--- a/io/protocol/peer/client.go
+++ b/io/protocol/peer/client.go
@@ -10,6 +10,7 @@
 	"papayaspoke/core/coordination/consensus"
 	"papayaspoke/core/coordination/dispatch/budget"
 	"papayaspoke/core/coordination/membership"
+	"papayaspoke/core/coordination/placement"
 	"papayaspoke/core/coordination/witness"
 	"papayaspoke/core/ident"
 	"papayaspoke/core/result"
@@ -99,3 +100,24 @@
 	}
 	return permitsResponseFromWire(resp.Msg, a.Owner), nil
 }
+
+// ReadIndex asks the daemon at addr for an index that covers all that was
+// committed before the call; ok is false if it does not lead.
+func (c *Client) ReadIndex(ctx context.Context, addr string) (index uint64, ok bool, err error) {
+	resp, err := c.peer(addr).ReadIndex(ctx, connect.NewRequest(&peerpb.ReadIndexRequest{}))
+	if err != nil {
+		return 0, false, err
+	}
+	return resp.Msg.GetIndex(), resp.Msg.GetOk(), nil
+}
+
+// Usage tells the daemon at addr what this daemon runs and wants; ok is false
+// if it is not the placer.
+func (c *Client) Usage(ctx context.Context, addr string, u placement.Usage) (a placement.Answer, ok bool, err error) {
+	resp, err := c.peer(addr).Usage(ctx, connect.NewRequest(usageToWire(u, time.Now())))
+	if err != nil {
+		return placement.Answer{}, false, err
+	}
+	a, ok = boardsFromWire(resp.Msg, time.Now())
+	return a, ok, nil
+}
--- a/io/protocol/peer/membership.go
+++ b/io/protocol/peer/membership.go
@@ -175,6 +175,7 @@
 		Name:        string(d.Name),
 		Incarnation: uint64(d.Version.Incarnation),
 		Sequence:    d.Version.Sequence,
+		Front:       d.Front,
 		Caller:      d.Caller,
 		Peer:        d.Peer,
 		Operator:    d.Operator,
@@ -199,6 +200,7 @@
 		Name:       ident.Daemon(m.GetName()),
 		Version:    membership.Version{Incarnation: ident.Incarnation(m.GetIncarnation()), Sequence: m.GetSequence()},
 		Caller:     m.GetCaller(),
+		Front:      m.GetFront(),
 		Peer:       m.GetPeer(),
 		Operator:   m.GetOperator(),
 		DataCentre: ident.DataCentre(m.GetCentre()),
@@ -246,7 +248,7 @@
 	if m.GetName() == "" || m.GetIncarnation() == 0 || m.GetAddress() == "" {
 		return membership.Upstream{}, result.New(result.Malformed, "upstream %q has no name, incarnation or address", m.GetName())
 	}
-	if kind < membership.Engine || kind > membership.PlainService || uint32(kind) != m.GetKind() {
+	if kind < membership.Engine || kind > membership.Routed || uint32(kind) != m.GetKind() {
 		return membership.Upstream{}, result.New(result.Malformed, "upstream %q is of unknown kind %d", m.GetName(), m.GetKind())
 	}
 	u := membership.Upstream{
--- a/io/protocol/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/io/protocol/peer/peerpb/peerpbconnect/peer.connect.go
@@ -43,6 +43,10 @@
 	PeerProposeProcedure = "/papayaspoke.peer.Peer/Propose"
 	// PeerPermitsProcedure is the fully-qualified name of the Peer's Permits RPC.
 	PeerPermitsProcedure = "/papayaspoke.peer.Peer/Permits"
+	// PeerReadIndexProcedure is the fully-qualified name of the Peer's ReadIndex RPC.
+	PeerReadIndexProcedure = "/papayaspoke.peer.Peer/ReadIndex"
+	// PeerUsageProcedure is the fully-qualified name of the Peer's Usage RPC.
+	PeerUsageProcedure = "/papayaspoke.peer.Peer/Usage"
 )
 
 // PeerClient is a client for the papayaspoke.peer.Peer service.
@@ -57,6 +61,12 @@
 	Propose(context.Context, *connect.Request[peerpb.ProposeRequest]) (*connect.Response[peerpb.ProposeResponse], error)
 	// Permits asks the holder of the load budget for permits to load adapters.
 	Permits(context.Context, *connect.Request[peerpb.PermitsRequest]) (*connect.Response[peerpb.PermitsResponse], error)
+	// ReadIndex asks the leader for an index that covers all that was committed
+	// before the call.
+	ReadIndex(context.Context, *connect.Request[peerpb.ReadIndexRequest]) (*connect.Response[peerpb.ReadIndexResponse], error)
+	// Usage tells the placer what a daemon runs and wants, and returns where
+	// adapters are.
+	Usage(context.Context, *connect.Request[peerpb.UsageRequest]) (*connect.Response[peerpb.UsageResponse], error)
 }
 
 // NewPeerClient constructs a client for the papayaspoke.peer.Peer service. By default, it uses the
@@ -100,6 +110,18 @@
 			connect.WithSchema(peerMethods.ByName("Permits")),
 			connect.WithClientOptions(opts...),
 		),
+		readIndex: connect.NewClient[peerpb.ReadIndexRequest, peerpb.ReadIndexResponse](
+			httpClient,
+			baseURL+PeerReadIndexProcedure,
+			connect.WithSchema(peerMethods.ByName("ReadIndex")),
+			connect.WithClientOptions(opts...),
+		),
+		usage: connect.NewClient[peerpb.UsageRequest, peerpb.UsageResponse](
+			httpClient,
+			baseURL+PeerUsageProcedure,
+			connect.WithSchema(peerMethods.ByName("Usage")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -110,6 +132,8 @@
 	gossip    *connect.Client[peerpb.GossipRequest, peerpb.GossipResponse]
 	propose   *connect.Client[peerpb.ProposeRequest, peerpb.ProposeResponse]
 	permits   *connect.Client[peerpb.PermitsRequest, peerpb.PermitsResponse]
+	readIndex *connect.Client[peerpb.ReadIndexRequest, peerpb.ReadIndexResponse]
+	usage     *connect.Client[peerpb.UsageRequest, peerpb.UsageResponse]
 }
 
 // Consensus calls papayaspoke.peer.Peer.Consensus.
@@ -137,6 +161,16 @@
 	return c.permits.CallUnary(ctx, req)
 }
 
+// ReadIndex calls papayaspoke.peer.Peer.ReadIndex.
+func (c *peerClient) ReadIndex(ctx context.Context, req *connect.Request[peerpb.ReadIndexRequest]) (*connect.Response[peerpb.ReadIndexResponse], error) {
+	return c.readIndex.CallUnary(ctx, req)
+}
+
+// Usage calls papayaspoke.peer.Peer.Usage.
+func (c *peerClient) Usage(ctx context.Context, req *connect.Request[peerpb.UsageRequest]) (*connect.Response[peerpb.UsageResponse], error) {
+	return c.usage.CallUnary(ctx, req)
+}
+
 // PeerHandler is an implementation of the papayaspoke.peer.Peer service.
 type PeerHandler interface {
 	// Consensus delivers a batch of messages of the replicated log.
@@ -149,6 +183,12 @@
 	Propose(context.Context, *connect.Request[peerpb.ProposeRequest]) (*connect.Response[peerpb.ProposeResponse], error)
 	// Permits asks the holder of the load budget for permits to load adapters.
 	Permits(context.Context, *connect.Request[peerpb.PermitsRequest]) (*connect.Response[peerpb.PermitsResponse], error)
+	// ReadIndex asks the leader for an index that covers all that was committed
+	// before the call.
+	ReadIndex(context.Context, *connect.Request[peerpb.ReadIndexRequest]) (*connect.Response[peerpb.ReadIndexResponse], error)
+	// Usage tells the placer what a daemon runs and wants, and returns where
+	// adapters are.
+	Usage(context.Context, *connect.Request[peerpb.UsageRequest]) (*connect.Response[peerpb.UsageResponse], error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -188,6 +228,18 @@
 		connect.WithSchema(peerMethods.ByName("Permits")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerReadIndexHandler := connect.NewUnaryHandler(
+		PeerReadIndexProcedure,
+		svc.ReadIndex,
+		connect.WithSchema(peerMethods.ByName("ReadIndex")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerUsageHandler := connect.NewUnaryHandler(
+		PeerUsageProcedure,
+		svc.Usage,
+		connect.WithSchema(peerMethods.ByName("Usage")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/papayaspoke.peer.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerConsensusProcedure:
@@ -200,6 +252,10 @@
 			peerProposeHandler.ServeHTTP(w, r)
 		case PeerPermitsProcedure:
 			peerPermitsHandler.ServeHTTP(w, r)
+		case PeerReadIndexProcedure:
+			peerReadIndexHandler.ServeHTTP(w, r)
+		case PeerUsageProcedure:
+			peerUsageHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -228,3 +284,11 @@
 func (UnimplementedPeerHandler) Permits(context.Context, *connect.Request[peerpb.PermitsRequest]) (*connect.Response[peerpb.PermitsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("papayaspoke.peer.Peer.Permits is not implemented"))
 }
+
+func (UnimplementedPeerHandler) ReadIndex(context.Context, *connect.Request[peerpb.ReadIndexRequest]) (*connect.Response[peerpb.ReadIndexResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("papayaspoke.peer.Peer.ReadIndex is not implemented"))
+}
+
+func (UnimplementedPeerHandler) Usage(context.Context, *connect.Request[peerpb.UsageRequest]) (*connect.Response[peerpb.UsageResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("papayaspoke.peer.Peer.Usage is not implemented"))
+}
--- /dev/null
+++ b/io/protocol/peer/placement.go
@@ -0,0 +1,124 @@
+package peer
+
+import (
+	"time"
+
+	"papayaspoke/core/coordination/placement"
+	"papayaspoke/core/ident"
+	"papayaspoke/io/protocol/peer/peerpb"
+)
+
+func usageToWire(u placement.Usage, now time.Time) *peerpb.UsageRequest {
+	p := &peerpb.UsageRequest{
+		Daemon: string(u.Daemon), Centre: string(u.DataCentre), Fence: uint64(u.Fence), Revision: u.Revision,
+	}
+	for _, r := range u.Runs {
+		p.Runs = append(p.Runs, &peerpb.Run{
+			Replica: string(r.Replica), Model: string(r.Weights.Model), Adapter: r.Weights.Adapter,
+			Running: uint32(max(r.Running, 0)), Started: uint32(max(r.Started, 0)),
+		})
+	}
+	for _, d := range u.Demands {
+		p.Demands = append(p.Demands, &peerpb.Demand{
+			Service: string(d.Service), Model: string(d.Weights.Model), Adapter: d.Weights.Adapter,
+			Version: d.Version, Waiting: uint32(max(d.Waiting, 0)), Missed: string(d.Missed),
+		})
+	}
+	for _, l := range u.Listings {
+		p.Listings = append(p.Listings, &peerpb.Listing{
+			Replica: string(l.Replica), Incarnation: uint64(l.Incarnation), Age: millis(now.Sub(l.MadeAt)),
+			Holdings: holdingsToWire(l.Holdings, now),
+		})
+	}
+	return p
+}
+
+func usageFromWire(p *peerpb.UsageRequest, now time.Time) placement.Usage {
+	u := placement.Usage{
+		Daemon: ident.Daemon(p.GetDaemon()), DataCentre: ident.DataCentre(p.GetCentre()),
+		Fence: ident.Fence(p.GetFence()), Revision: p.GetRevision(),
+	}
+	for _, r := range p.GetRuns() {
+		u.Runs = append(u.Runs, placement.Run{
+			Replica: ident.Upstream(r.GetReplica()), Weights: weightsOf(r.GetModel(), r.GetAdapter()),
+			Running: int(r.GetRunning()), Started: int(r.GetStarted()),
+		})
+	}
+	for _, d := range p.GetDemands() {
+		u.Demands = append(u.Demands, placement.Demand{
+			Service: ident.Service(d.GetService()), Weights: weightsOf(d.GetModel(), d.GetAdapter()),
+			Version: d.GetVersion(), Waiting: int(d.GetWaiting()), Missed: ident.Upstream(d.GetMissed()),
+		})
+	}
+	for _, l := range p.GetListings() {
+		u.Listings = append(u.Listings, placement.Listing{
+			Replica: ident.Upstream(l.GetReplica()), Incarnation: ident.Incarnation(l.GetIncarnation()),
+			MadeAt: now.Add(-time.Duration(l.GetAge()) * time.Millisecond), Holdings: holdingsFromWire(l.GetHoldings(), now),
+		})
+	}
+	return u
+}
+
+func boardsToWire(a placement.Answer, ok bool, now time.Time) *peerpb.UsageResponse {
+	p := &peerpb.UsageResponse{Placer: ok, Fence: uint64(a.Fence), Revision: a.Revision}
+	for _, b := range a.Boards {
+		p.Boards = append(p.Boards, &peerpb.Board{
+			Replica: string(b.Replica), Incarnation: uint64(b.Incarnation), Holdings: holdingsToWire(b.Holdings, now),
+		})
+	}
+	for name, n := range a.Loads {
+		p.Loads = append(p.Loads, &peerpb.Load{Replica: string(name), Running: uint32(n)})
+	}
+	return p
+}
+
+func boardsFromWire(p *peerpb.UsageResponse, now time.Time) (placement.Answer, bool) {
+	a := placement.Answer{
+		Fence: ident.Fence(p.GetFence()), Revision: p.GetRevision(),
+		Loads: make(map[ident.Upstream]int, len(p.GetLoads())),
+	}
+	for _, b := range p.GetBoards() {
+		a.Boards = append(a.Boards, placement.Board{
+			Replica: ident.Upstream(b.GetReplica()), Incarnation: ident.Incarnation(b.GetIncarnation()),
+			Holdings: holdingsFromWire(b.GetHoldings(), now),
+		})
+	}
+	for _, l := range p.GetLoads() {
+		a.Loads[ident.Upstream(l.GetReplica())] = int(l.GetRunning())
+	}
+	return a, p.GetPlacer()
+}
+
+func holdingsToWire(hs []placement.Holding, now time.Time) []*peerpb.Holding {
+	out := make([]*peerpb.Holding, 0, len(hs))
+	for _, h := range hs {
+		out = append(out, &peerpb.Holding{
+			Model: string(h.Weights.Model), Adapter: h.Weights.Adapter, Version: h.Version, Ready: millis(h.ReadyAt.Sub(now)),
+		})
+	}
+	return out
+}
+
+func holdingsFromWire(ps []*peerpb.Holding, now time.Time) []placement.Holding {
+	out := make([]placement.Holding, 0, len(ps))
+	for _, p := range ps {
+		out = append(out, placement.Holding{
+			Weights: weightsOf(p.GetModel(), p.GetAdapter()), Version: p.GetVersion(),
+			ReadyAt: now.Add(time.Duration(p.GetReady()) * time.Millisecond),
+		})
+	}
+	return out
+}
+
+func weightsOf(model, adapter string) placement.Weights {
+	return placement.Weights{Model: ident.Model(model), Adapter: adapter}
+}
+
+// millis rounds up, so that nothing is taken for ready before it is; what is
+// past is 0.
+func millis(d time.Duration) uint32 {
+	if d <= 0 {
+		return 0
+	}
+	return uint32((d + time.Millisecond - 1) / time.Millisecond)
+}
--- a/io/protocol/peer/service.go
+++ b/io/protocol/peer/service.go
@@ -10,6 +10,7 @@
 	"papayaspoke/core/coordination/consensus"
 	"papayaspoke/core/coordination/dispatch/budget"
 	"papayaspoke/core/coordination/membership"
+	"papayaspoke/core/coordination/placement"
 	"papayaspoke/core/coordination/witness"
 	"papayaspoke/core/ident"
 	"papayaspoke/core/result"
@@ -43,6 +44,12 @@
 	Propose func(ctx context.Context, command []byte) Proposed
 	// Permits answers an owner's question to the holder of the load budget.
 	Permits func(ctx context.Context, a budget.Ask, released []budget.PermitID) Grant
+	// ReadIndex returns an index that covers all that was committed before the
+	// call; ok is false if this daemon does not lead.
+	ReadIndex func(ctx context.Context) (index uint64, ok bool)
+	// Usage answers a daemon's word to the placer; ok is false if this daemon
+	// is not the placer.
+	Usage func(ctx context.Context, u placement.Usage) (a placement.Answer, ok bool)
 }
 
 // NewHandler serves s to daemons that present the token.
@@ -51,8 +58,12 @@
 	return path, WithToken(token, inner)
 }
 
-// WithToken refuses requests without the token.
+// WithToken refuses requests without the token. An empty token lets all pass:
+// then the network between the VMs is trusted.
 func WithToken(token string, h http.Handler) http.Handler {
+	if token == "" {
+		return h
+	}
 	want := []byte(bearer(token))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), want) != 1 {
@@ -113,4 +124,14 @@
 	return connect.NewResponse(permitsResponseToWire(h.s.Permits(ctx, ask, released))), nil
 }
 
+func (h service) ReadIndex(ctx context.Context, _ *connect.Request[peerpb.ReadIndexRequest]) (*connect.Response[peerpb.ReadIndexResponse], error) {
+	index, ok := h.s.ReadIndex(ctx)
+	return connect.NewResponse(&peerpb.ReadIndexResponse{Ok: ok, Index: index}), nil
+}
+
+func (h service) Usage(ctx context.Context, r *connect.Request[peerpb.UsageRequest]) (*connect.Response[peerpb.UsageResponse], error) {
+	a, ok := h.s.Usage(ctx, usageFromWire(r.Msg, time.Now()))
+	return connect.NewResponse(boardsToWire(a, ok, time.Now())), nil
+}
+
 func malformed(err error) error { return connect.NewError(connect.CodeInvalidArgument, err) }
--- a/io/protocol/peer/statecommand.go
+++ b/io/protocol/peer/statecommand.go
@@ -85,6 +85,9 @@
 			Until:  timeToWire(c.Until),
 		}}}, nil
 	}
+	if p, ok := platformToWire(c); ok {
+		return p, nil
+	}
 	return ledgerToWire(c)
 }
 
@@ -199,6 +202,9 @@
 			Until:  timeFromWire(k.Quarantine.GetUntil()),
 		}, nil
 	}
+	if c, ok := platformFromWire(p); ok {
+		return c, nil
+	}
 	return ledgerFromWire(p)
 }
 
--- /dev/null
+++ b/io/protocol/peer/stateplatform.go
@@ -0,0 +1,65 @@
+package peer
+
+import (
+	"papayaspoke/core/ident"
+	"papayaspoke/core/state"
+	"papayaspoke/io/protocol/peer/peerpb"
+)
+
+// platformToWire maps the commands of routing and placement; ok is false for
+// any other command.
+func platformToWire(c state.Command) (p *peerpb.Command, ok bool) {
+	switch c := c.(type) {
+	case state.PutRouting:
+		return &peerpb.Command{Kind: &peerpb.Command_PutRouting{PutRouting: &peerpb.Routing{
+			Version: c.Version, Document: c.Document,
+		}}}, true
+	case state.NameVersion:
+		return &peerpb.Command{Kind: &peerpb.Command_NameVersion{NameVersion: namingToWire(state.Naming(c))}}, true
+	case state.AppointPlacer:
+		return &peerpb.Command{Kind: &peerpb.Command_AppointPlacer{AppointPlacer: &peerpb.PlacerRecord{
+			Daemon: string(c.Daemon), Incarnation: uint64(c.Incarnation), Retired: c.After,
+		}}}, true
+	case state.RetirePlacer:
+		return &peerpb.Command{Kind: &peerpb.Command_RetirePlacer{RetirePlacer: uint64(c.Fence)}}, true
+	}
+	return nil, false
+}
+
+func platformFromWire(p *peerpb.Command) (c state.Command, ok bool) {
+	switch k := p.GetKind().(type) {
+	case *peerpb.Command_PutRouting:
+		return state.PutRouting{Version: k.PutRouting.GetVersion(), Document: k.PutRouting.GetDocument()}, true
+	case *peerpb.Command_NameVersion:
+		return state.NameVersion(namingFromWire(k.NameVersion)), true
+	case *peerpb.Command_AppointPlacer:
+		a := k.AppointPlacer
+		return state.AppointPlacer{
+			Daemon: ident.Daemon(a.GetDaemon()), Incarnation: ident.Incarnation(a.GetIncarnation()), After: a.GetRetired(),
+		}, true
+	case *peerpb.Command_RetirePlacer:
+		return state.RetirePlacer{Fence: ident.Fence(k.RetirePlacer)}, true
+	}
+	return nil, false
+}
+
+func namingToWire(n state.Naming) *peerpb.Naming {
+	return &peerpb.Naming{Model: string(n.Model), Adapter: n.Adapter, Version: n.Version}
+}
+
+func namingFromWire(p *peerpb.Naming) state.Naming {
+	return state.Naming{Model: ident.Model(p.GetModel()), Adapter: p.GetAdapter(), Version: p.GetVersion()}
+}
+
+func placerToWire(p state.Placer) *peerpb.PlacerRecord {
+	return &peerpb.PlacerRecord{
+		Daemon: string(p.Daemon), Incarnation: uint64(p.Incarnation), Fence: uint64(p.Fence), Retired: p.Retired,
+	}
+}
+
+func placerFromWire(p *peerpb.PlacerRecord) state.Placer {
+	return state.Placer{
+		Daemon: ident.Daemon(p.GetDaemon()), Incarnation: ident.Incarnation(p.GetIncarnation()),
+		Fence: ident.Fence(p.GetFence()), Retired: p.GetRetired(),
+	}
+}
--- a/io/protocol/peer/statesnapshot.go
+++ b/io/protocol/peer/statesnapshot.go
@@ -37,6 +37,9 @@
 		Sequence:       s.Sequence,
 		Entries:        convert(s.Entries, entryToWire),
 		Expired:        timeToWire(s.Expired),
+		Routing:        &peerpb.Routing{Version: s.Routing.Version, Document: s.Routing.Document},
+		Namings:        convert(s.Namings, namingToWire),
+		Placer:         placerToWire(s.Placer),
 	}
 	for _, d := range s.Drained {
 		p.Drained = append(p.Drained, &peerpb.VersionedDaemon{Name: string(d.Name), Version: d.Version})
@@ -77,6 +80,9 @@
 		Sequence:       p.GetSequence(),
 		Entries:        convert(p.GetEntries(), entryFromWire),
 		Expired:        timeFromWire(p.GetExpired()),
+		Routing:        state.Routing{Version: p.GetRouting().GetVersion(), Document: p.GetRouting().GetDocument()},
+		Namings:        convert(p.GetNamings(), namingFromWire),
+		Placer:         placerFromWire(p.GetPlacer()),
 	}
 	for _, d := range p.GetDrained() {
 		s.Drained = append(s.Drained, state.Drained{Name: ident.Daemon(d.GetName()), Version: d.GetVersion()})
--- /dev/null
+++ b/io/settings/platform.go
@@ -0,0 +1,116 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"papayaspoke/core/coordination/balance"
+)
+
+// Platform are the settings of a daemon that serves the users' platform. All
+// of it is zero if the settings file has no table [platform].
+type Platform struct {
+	front, ready, control, directory netip.AddrPort
+	grace, rival                     time.Duration
+	retries                          balance.Allowance
+	keep                             time.Duration
+	memory                           int
+}
+
+// On reports whether the daemon serves the platform.
+func (p Platform) On() bool { return p.front.IsValid() }
+
+// Front returns the address for requests of clients.
+func (p Platform) Front() netip.AddrPort { return p.front }
+
+// Ready returns the address that the platform asks for readiness.
+func (p Platform) Ready() netip.AddrPort { return p.ready }
+
+// Control returns the address for replicas and operators.
+func (p Platform) Control() netip.AddrPort { return p.control }
+
+// Directory returns the address at which clients ask where to connect.
+func (p Platform) Directory() netip.AddrPort { return p.directory }
+
+// Grace returns how long a process lives on after it was told to stop.
+func (p Platform) Grace() time.Duration { return p.grace }
+
+// Rival returns how long after an order of one placer replicas take an order
+// of another for a rival's.
+func (p Platform) Rival() time.Duration { return p.rival }
+
+// Retries returns what may be sent again, by all daemons together.
+func (p Platform) Retries() balance.Allowance { return p.retries }
+
+// Keep returns how long clients keep the answer to where to connect.
+func (p Platform) Keep() time.Duration { return p.keep }
+
+// Memory returns the process's limit in MiB, 0 if none was stated.
+func (p Platform) Memory() int { return p.memory }
+
+// platformPart is the wire form of the table [platform].
+type platformPart struct {
+	Front     string  `toml:"front"`
+	Ready     string  `toml:"ready"`
+	Control   string  `toml:"control"`
+	Directory string  `toml:"directory"`
+	Grace     float64 `toml:"grace"`
+	Rival     float64 `toml:"rival"`
+	Keep      float64 `toml:"keep"`
+	Window    float64 `toml:"window"`
+	Share     float64 `toml:"share"`
+	Extra     float64 `toml:"extra"`
+	Memory    int     `toml:"memory"`
+}
+
+// Defaults of the table [platform], in seconds but for the share. They are
+// used where the platform states no bound.
+const (
+	defaultGrace  = 8
+	defaultRival  = 3
+	defaultKeep   = 2
+	defaultWindow = 10
+	defaultShare  = 0.1
+	maxSeconds    = 3600
+)
+
+func (c *checker) platform(f platformPart) Platform {
+	if f == (platformPart{}) {
+		return Platform{}
+	}
+	p := Platform{
+		front:     c.listen("platform.front", f.Front),
+		ready:     c.listen("platform.ready", f.Ready),
+		control:   c.listen("platform.control", f.Control),
+		directory: c.listen("platform.directory", f.Directory),
+		grace:     c.seconds("platform.grace", f.Grace, defaultGrace),
+		rival:     c.seconds("platform.rival", f.Rival, defaultRival),
+		keep:      c.seconds("platform.keep", f.Keep, defaultKeep),
+		memory:    f.Memory,
+	}
+	p.retries = balance.Allowance{
+		Window: c.seconds("platform.window", f.Window, defaultWindow), Share: f.Share, Extra: f.Extra,
+	}
+	if f.Share < 0 || f.Extra < 0 {
+		c.addf("platform.share", "platform.share and platform.extra must not be negative")
+	}
+	if f.Share == 0 && f.Extra == 0 {
+		p.retries.Share = defaultShare
+	}
+	if f.Memory < 0 {
+		c.addf("platform.memory", "platform.memory %d is negative", f.Memory)
+	}
+	return p
+}
+
+// seconds checks a number of seconds; 0 stands for the default.
+func (c *checker) seconds(key string, v, otherwise float64) time.Duration {
+	if v < 0 || v > maxSeconds {
+		c.addf(key, "%s %v is not between 0 and %d seconds", key, v, maxSeconds)
+		return 0
+	}
+	if v == 0 {
+		v = otherwise
+	}
+	return time.Duration(v * float64(time.Second))
+}
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -29,6 +29,10 @@
 	voters     []ident.Daemon
 	token      string
 	level      int
+	open       bool
+	founder    bool
+	metrics    netip.AddrPort
+	platform   Platform
 }
 
 // Name returns the daemon's name, unique in the cluster.
@@ -66,6 +70,22 @@
 // Token returns the secret that operators and peers present.
 func (s Settings) Token() string { return s.token }
 
+// Open reports whether every daemon with a data folder is a voter, so that no
+// list of voters is given and peers show no token: the network between the VMs
+// is trusted.
+func (s Settings) Open() bool { return s.open }
+
+// Founder reports whether an open cluster starts for the first time, so that
+// the first peer with a data folder founds it.
+func (s Settings) Founder() bool { return s.founder }
+
+// Metrics returns the address that shows metrics without a token; it may be
+// invalid, which means none.
+func (s Settings) Metrics() netip.AddrPort { return s.metrics }
+
+// Platform returns the table [platform].
+func (s Settings) Platform() Platform { return s.platform }
+
 // Level returns the log verbosity, 0 to 2.
 func (s Settings) Level() int { return s.level }
 
@@ -78,12 +98,18 @@
 	Shown  shownPart  `toml:"advertise"`
 	Group  groupPart  `toml:"cluster"`
 	Log    logPart    `toml:"log"`
+
+	Platform platformPart `toml:"platform"`
 }
 
 type listenPart struct {
 	Caller   string `toml:"caller"`
 	Operator string `toml:"operator"`
 	Peer     string `toml:"peer"`
+	Metrics  string `toml:"metrics"`
+	// Ports is an IP number and the first of three ports, for peers, callers
+	// and operators, in the place of their addresses.
+	Ports string `toml:"ports"`
 }
 
 type shownPart struct {
@@ -94,7 +120,13 @@
 type groupPart struct {
 	Peers  []string `toml:"peers"`
 	Voters []string `toml:"voters"`
-	Token  string   `toml:"token"`
+	// Seeds are addresses of VMs to join through, in an order that is the same
+	// everywhere at the first start. Peers listen on the port of this daemon's
+	// own peer address.
+	Seeds   []string `toml:"seeds"`
+	Open    bool     `toml:"open"`
+	Founder bool     `toml:"founder"`
+	Token   string   `toml:"token"`
 }
 
 type logPart struct {
@@ -162,6 +194,7 @@
 }
 
 func (c *checker) settings(f file) Settings {
+	c.ports(&f.Listen)
 	s := Settings{
 		name:       ident.Daemon(c.name("name", f.Name)),
 		dataCentre: ident.DataCentre(c.name("centre", f.Centre)),
@@ -176,8 +209,19 @@
 	for _, p := range f.Group.Peers {
 		s.peers = append(s.peers, c.address("cluster.peers", p))
 	}
-	c.voters(&s, f.Group.Voters)
-	c.token(&s, f.Group.Token)
+	for _, p := range f.Group.Seeds {
+		a := c.address("cluster.seeds", p)
+		s.peers = append(s.peers, netip.AddrPortFrom(a.Addr(), s.shownPeer.Port()))
+	}
+	s.open, s.founder = f.Group.Open, f.Group.Founder
+	if !s.open {
+		c.voters(&s, f.Group.Voters)
+		c.token(&s, f.Group.Token)
+	}
+	if f.Listen.Metrics != "" {
+		s.metrics = c.listen("listen.metrics", f.Listen.Metrics)
+	}
+	s.platform = c.platform(f.Platform)
 	if f.Log.Level < 0 || f.Log.Level > maxLevel {
 		c.addf("log.level", "log.level %d is not between 0 and %d", f.Log.Level, maxLevel)
 	}
@@ -212,6 +256,19 @@
 	return a
 }
 
+// ports fills in the addresses that are given by their first port.
+func (c *checker) ports(l *listenPart) {
+	if l.Ports == "" {
+		return
+	}
+	a := c.address("listen.ports", l.Ports)
+	for i, at := range []*string{&l.Peer, &l.Caller, &l.Operator} {
+		if *at == "" && a.IsValid() {
+			*at = netip.AddrPortFrom(a.Addr(), a.Port()+uint16(i)).String()
+		}
+	}
+}
+
 func (c *checker) listen(key, v string) netip.AddrPort {
 	if v == "" {
 		c.addf(key, "%s is missing", key)
--- a/io/transport/client/client.go
+++ b/io/transport/client/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
+	"net/url"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -37,26 +38,46 @@
 	fresh  *http.Transport
 }
 
+// limits are what clients differ in.
+type limits struct {
+	// dial bounds the making of a connection, idle how long one is kept.
+	dial, idle time.Duration
+	// unacked is how long sent data may stay unacknowledged, in milliseconds.
+	unacked int
+}
+
+var (
+	between = limits{dial: dialTimeout, idle: idleTimeout, unacked: unackedMillis}
+	// toReplicas gives up sooner: another replica may answer instead, and
+	// replicas close idle connections of their own accord.
+	toReplicas = limits{dial: 400 * time.Millisecond, idle: 4 * time.Second, unacked: 3000}
+)
+
 // New returns a client.
 func New() *Client { return NewFrom(netip.Addr{}) }
 
 // NewFrom returns a client whose connections come from a local address, so
 // that others know by it who is calling. The zero address leaves the choice
 // to the kernel.
-func NewFrom(local netip.Addr) *Client {
+func NewFrom(local netip.Addr) *Client { return newClient(local, between) }
+
+// NewForReplicas returns a client as [NewFrom] does that gives up sooner.
+func NewForReplicas(local netip.Addr) *Client { return newClient(local, toReplicas) }
+
+func newClient(local netip.Addr, l limits) *Client {
 	var from net.Addr
 	if local.IsValid() {
 		from = net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))
 	}
-	return &Client{pooled: transport(from, false), fresh: transport(from, true)}
+	return &Client{pooled: transport(from, l, false), fresh: transport(from, l, true)}
 }
 
-func transport(from net.Addr, fresh bool) *http.Transport {
+func transport(from net.Addr, l limits, fresh bool) *http.Transport {
 	d := &net.Dialer{
 		LocalAddr:       from,
-		Timeout:         dialTimeout,
+		Timeout:         l.dial,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3},
-		Control:         setUserTimeout,
+		Control:         func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, l.unacked) },
 	}
 	return &http.Transport{
 		DialContext:         d.DialContext,
@@ -64,14 +85,14 @@
 		DisableKeepAlives:   fresh,
 		MaxIdleConns:        0,
 		MaxIdleConnsPerHost: idlePerHost,
-		IdleConnTimeout:     idleTimeout,
+		IdleConnTimeout:     l.idle,
 	}
 }
 
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
+func setUserTimeout(c syscall.RawConn, millis int) error {
 	var inner error
 	err := c.Control(func(fd uintptr) {
-		inner = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, unackedMillis)
+		inner = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, millis)
 	})
 	if err != nil {
 		return err
@@ -95,6 +116,9 @@
 	Method, URL string
 	// Header is sent as it is.
 	Header http.Header
+	// Target is sent as it is in the place of the URL's path; empty for the
+	// path. Host is sent in the place of the URL's host, unless empty.
+	Target, Host string
 	// Body is the whole body.
 	Body []byte
 	// HeadBy is when the head of the answer must have arrived over a pooled
@@ -147,6 +171,8 @@
 	body   *body
 	// repeated is true if the exchange may have been received twice.
 	repeated bool
+	// conn is the connection that the answer came by.
+	conn net.Conn
 }
 
 // Status returns the HTTP status.
@@ -164,6 +190,15 @@
 // answer was cut.
 func (a *Answer) Body() io.ReadCloser { return a.body }
 
+// Discard closes the connection that the answer came by, so that no further
+// answer is taken from it.
+func (a *Answer) Discard() {
+	if a.conn != nil {
+		_ = a.conn.Close()
+	}
+	_ = a.body.Close()
+}
+
 // LimitSilence makes reads of the body fail if nothing arrives until the time
 // that until returns for the start of the read.
 func (a *Answer) LimitSilence(until func(now time.Time) time.Time) { a.body.until = until }
@@ -206,6 +241,17 @@
 	return a, nil
 }
 
+// Send makes one exchange once, over a pooled connection if it is idempotent
+// and over a new one otherwise. The error is a [*Failure].
+func (c *Client) Send(ctx context.Context, x Exchange) (*Answer, error) {
+	via := c.fresh
+	if x.Idempotent {
+		via = c.pooled
+	}
+	a, f := c.try(ctx, via, x, x.HeadBy)
+	return a, f.orNil()
+}
+
 // orNil avoids an error that holds a nil pointer.
 func (f *Failure) orNil() error {
 	if f == nil {
@@ -219,9 +265,11 @@
 func (c *Client) try(ctx context.Context, via *http.Transport, x Exchange, headBy time.Time) (*Answer, *Failure) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	var got, reused atomic.Bool
+	var conn atomic.Pointer[net.Conn]
 	watch := &watchdog{cancel: cancel}
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		got.Store(true)
+		conn.Store(&info.Conn)
 		reused.Store(info.Reused)
 		by := x.FreshBy
 		if info.Reused {
@@ -241,6 +289,7 @@
 		req.Header = http.Header{}
 	}
 	setBody(req, x)
+	setTarget(req, x)
 	resp, err := via.RoundTrip(req)
 	watch.stop()
 	if err != nil {
@@ -251,7 +300,11 @@
 		return nil, &Failure{sent: got.Load(), fresh: !reused.Load(), cause: notEOF(err)}
 	}
 	b := &body{inner: resp.Body, watch: watch, cancel: cancel, ctx: ctx}
-	return &Answer{status: resp.StatusCode, header: resp.Header, body: b}, nil
+	answer := &Answer{status: resp.StatusCode, header: resp.Header, body: b}
+	if c := conn.Load(); c != nil {
+		answer.conn = *c
+	}
+	return answer, nil
 }
 
 // notEOF keeps a connection that ended early from being taken for the regular
@@ -265,13 +318,26 @@
 
 // setBody leaves GetBody unset, so that net/http repeats nothing by itself.
 func setBody(req *http.Request, x Exchange) {
-	if len(x.Body) == 0 && x.Idempotent {
+	if len(x.Body) == 0 && x.Idempotent && x.Target == "" {
 		return
 	}
 	req.Body = io.NopCloser(bytes.NewReader(x.Body))
 	req.ContentLength = int64(len(x.Body))
 }
 
+// setTarget has the request line and the host sent as the exchange says, and
+// adds no headers of the library's own.
+func setTarget(req *http.Request, x Exchange) {
+	if x.Target == "" {
+		return
+	}
+	req.URL = &url.URL{Scheme: "http", Host: req.URL.Host, Opaque: x.Target}
+	req.Host = x.Host
+	if len(req.Header["User-Agent"]) == 0 {
+		req.Header.Set("User-Agent", "")
+	}
+}
+
 // watchdog ends an exchange at a time that can be moved.
 type watchdog struct {
 	cancel context.CancelCauseFunc
