Prompts are spaced out at each replica

Cause: half of the late streams had one pause of 300 to 470 ms (log field gap): a replica reads all waiting prompts in one step, and an event of two tokens takes two steps. Ruled out: a slow first piece (4 of 1,843 over 1 s).

--- a/core/coordination/balance/balance.go
+++ b/core/coordination/balance/balance.go
@@ -15,6 +15,9 @@
 	// centre seems to have in addition, for a batch of 64. A request's bytes
 	// between data centres cost about a hundredth of what it earns.
 	awayPenalty = 6.0 / 64
+	// waitPenalty turns seconds for which a replica has prompts to read into
+	// the share of its size that they weigh.
+	waitPenalty = 2
 	// ejectFirst and ejectMost bound how long a replica whose connections fail
 	// is left out.
 	ejectFirst = 500 * time.Millisecond
@@ -108,6 +111,8 @@
 	ejections    int
 	faults       int
 	faultAt      time.Time
+	// freeAt is when it had time for the prompt that was booked last.
+	freeAt time.Time
 	// mean is the mean duration of good answers, 0 if there was none.
 	mean time.Duration
 }
@@ -234,7 +239,7 @@
 				miss, at = betterMiss(miss, at, m, h.ReadyAt)
 				continue
 			}
-			if load = b.cost(p); best == nil || load < least {
+			if load = b.cost(now, p); best == nil || load < least {
 				best, least, version = p, load, h.Version
 			}
 		}
@@ -282,8 +287,8 @@
 
 // cost is what sending one more request to p would mean, as a share of its
 // size.
-func (b *Balancer) cost(p *peer) float64 {
-	c := float64(p.own+p.others+1) / float64(p.Slots)
+func (b *Balancer) cost(now time.Time, p *peer) float64 {
+	c := float64(p.own+p.others+1)/float64(p.Slots) + waitPenalty*max(0, p.freeAt.Sub(now).Seconds())
 	if p.DataCentre != b.centre {
 		c += awayPenalty
 	}
@@ -296,6 +301,13 @@
 	return c
 }
 
+// Booked notes when a replica has time for a prompt.
+func (b *Balancer) Booked(name ident.Upstream, at time.Time) {
+	if p := b.peers[name]; p != nil {
+		p.freeAt = at
+	}
+}
+
 // meanOf is the mean duration at the other replicas of a service.
 func (b *Balancer) meanOf(s ident.Service, but ident.Upstream) time.Duration {
 	var sum time.Duration
--- /dev/null
+++ b/core/coordination/pace/doc.go
@@ -0,0 +1,18 @@
+// Package pace spaces out the prompts that a replica has to read.
+//
+// # Why
+//
+// A replica reads new prompts between the tokens of running requests: each step
+// of its batch takes longer by what is read in it. Several prompts at a time
+// make a pause that every stream of the replica feels, and a stream with one
+// long pause is late as a whole. Prompts that come one after the other take no
+// longer in total, and the pauses stay within what operators allow.
+//
+// # How
+//
+// One daemon keeps the [Gate] of a replica; which one follows from the names of
+// both, so nobody has to agree on it. Whoever wants to send a request books the
+// reading of its prompt there, and sends when told. Nothing depends on it but
+// speed: without an answer the request is sent at once, and two daemons that
+// both keep a gate only space less well.
+package pace
--- /dev/null
+++ b/core/coordination/pace/pace.go
@@ -0,0 +1,127 @@
+package pace
+
+import (
+	"time"
+
+	"papayaspoke/core/ident"
+)
+
+const (
+	// readSpeed is how many tokens of a prompt an engine reads in a
+	// millisecond, as the users state for the engines of both sites.
+	readSpeed = 19.2
+	// stepTime is how long a step of a batch takes at least, by the same
+	// sheets.
+	stepTime = 11 * time.Millisecond
+	// slack is the part of an allowed pause that is used: the clocks of gate
+	// and engine are not the same.
+	slack = 0.9
+	// defaultPause is assumed where the operator states no pause.
+	defaultPause = 300 * time.Millisecond
+	// maxWait bounds how far ahead a gate is booked: beyond, spacing prompts
+	// out would cost more than the pauses.
+	maxWait = 1500 * time.Millisecond
+)
+
+// Prompt is a request whose prompt is to be read.
+type Prompt struct {
+	Tokens int
+	// Pause is the longest pause that streams of the replica may have, 0 if
+	// none was stated.
+	Pause time.Duration
+	// Stride is how many tokens the replica puts in one piece; at least 1.
+	Stride int
+}
+
+// Gate keeps when a replica will have read what was booked. The zero value is
+// a gate at which nothing is booked.
+type Gate struct {
+	free time.Time
+}
+
+// budget is how much reading fits into one step, so that a piece of several
+// steps keeps within the allowed pause.
+func (p Prompt) budget() time.Duration {
+	pause := p.Pause
+	if pause <= 0 {
+		pause = defaultPause
+	}
+	each := time.Duration(slack*float64(pause))/time.Duration(max(p.Stride, 1)) - stepTime
+	return max(each, stepTime)
+}
+
+// reading is how long the prompt takes.
+func (p Prompt) reading() time.Duration {
+	return time.Duration(float64(p.Tokens) / readSpeed * float64(time.Millisecond))
+}
+
+// Book returns when the prompt may be sent. A short prompt may be sent while
+// another is read, as long as both fit into one step; after a long one the
+// replica gets time for the tokens that had to wait.
+func (g *Gate) Book(now time.Time, p Prompt) time.Time {
+	budget, reading := p.budget(), p.reading()
+	if g.free.Before(now) {
+		g.free = now
+	}
+	start := g.free.Add(-max(0, budget-reading))
+	if start.Before(now) {
+		start = now
+	}
+	if start.Sub(now) > maxWait {
+		return now.Add(maxWait)
+	}
+	g.free = g.free.Add(reading + stepTime/2 + max(0, reading-budget)/2)
+	return start
+}
+
+// Gates are those that one daemon keeps. They are not safe for concurrent use.
+type Gates struct {
+	gates map[ident.Upstream]*Gate
+}
+
+// Book books at the gate of a replica.
+func (g *Gates) Book(now time.Time, name ident.Upstream, p Prompt) time.Time {
+	if g.gates == nil {
+		g.gates = make(map[ident.Upstream]*Gate)
+	}
+	at := g.gates[name]
+	if at == nil {
+		at = &Gate{}
+		g.gates[name] = at
+	}
+	return at.Book(now, p)
+}
+
+// Keep forgets the gates of replicas that are not in known.
+func (g *Gates) Keep(known func(name ident.Upstream) bool) {
+	for name := range g.gates {
+		if !known(name) {
+			delete(g.gates, name)
+		}
+	}
+}
+
+// Keeper is a daemon that may keep gates.
+type Keeper struct {
+	Name       ident.Daemon
+	DataCentre ident.DataCentre
+}
+
+// KeeperOf returns who keeps the gate of a replica: one of its own data centre,
+// if there is any. Whoever knows the same daemons gets the same answer.
+func KeeperOf(name ident.Upstream, centre ident.DataCentre, keepers []Keeper) ident.Daemon {
+	var best ident.Daemon
+	var rank uint64
+	near := false
+	for _, k := range keepers {
+		here := k.DataCentre == centre
+		if near && !here {
+			continue
+		}
+		if r := ident.Spread(string(k.Name), string(name)); best == "" || here && !near || r > rank {
+			best, rank = k.Name, r
+		}
+		near = near || here
+	}
+	return best
+}
--- a/core/coordination/placement/place.go
+++ b/core/coordination/placement/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"maps"
 	"math"
 	"slices"
@@ -227,14 +226,7 @@
 
 // spread ranks replicas for w, from 0 to 1, the same at each placer.
 func spread(name ident.Upstream, w Weights) float64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(name))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(w.Adapter))
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
+	x := ident.Spread(string(name), w.Adapter)
 	return float64(x>>11) / (1 << 53)
 }
 
--- a/core/routes/route.go
+++ b/core/routes/route.go
@@ -42,6 +42,9 @@
 	// Target is the time to the first byte that the operator aims at; 0 if
 	// none was stated.
 	Target time.Duration
+	// Pause is the longest pause between the pieces of a stream that is still
+	// on time; 0 if none was stated.
+	Pause time.Duration
 	// Attempts is how many replicas may run one request; at least 1.
 	Attempts int
 	// Priority ranks routes of one service; 0 is the most urgent.
@@ -71,6 +74,8 @@
 	Models []Model
 	// LoadsPerSecond is how many base models the weight store hands out.
 	LoadsPerSecond float64
+	// Stride is how many tokens make a piece of a stream.
+	Stride int
 	// CacheTokens is the memory of a replica, in tokens.
 	CacheTokens int
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -58,6 +58,7 @@
 	writer    *disk.Writer
 
 	callers, operators, peering *server.Server
+	booking                     booking
 	// platform is nil unless the settings have one.
 	platform *Platform
 }
@@ -236,7 +237,7 @@
 	path, rpc := peer.NewHandler(peer.Service{
 		Consensus: d.consensusReceived, Witness: d.witnessAsked, Gossip: d.gossiped,
 		Propose: d.proposed, Permits: d.permitsAsked,
-		ReadIndex: d.indexRead, Usage: d.usageTold,
+		ReadIndex: d.indexRead, Usage: d.usageTold, Book: d.bookHere,
 	}, d.settings.Token())
 	passedOn := peer.WithToken(d.settings.Token(), &caller.Handler{
 		Infer: d.infer, Call: d.call, Addresses: d.addresses, Peer: true,
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -64,7 +64,7 @@
 		d: d, dialect: dialect, replicas: conns,
 		gateway: gateway.New(gateway.Config{
 			DataCentre: d.dataCentre, Client: conns, Dialect: dialect.Gateway, Log: d.log,
-			Retries: d.settings.Platform().Retries(), Clock: d.clock, Observe: d.observe,
+			Retries: d.settings.Platform().Retries(), Clock: d.clock, Observe: d.observe, Book: d.book,
 		}),
 	}
 }
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"papayaspoke/core/coordination/balance"
+	"papayaspoke/core/coordination/pace"
 	"papayaspoke/core/ident"
 	"papayaspoke/core/result"
 	"papayaspoke/core/routes"
@@ -43,6 +44,8 @@
 	// sends counts what may have reached a replica, runs what may have run.
 	sends, runs int
 	waited      balance.Miss
+	// spaced is how long the request waited for its turn at a replica.
+	spaced time.Duration
 	// headSent is true once the head of an answer was passed on.
 	headSent bool
 	// last is the number of the last event passed on, or what the client had.
@@ -54,6 +57,10 @@
 	code    result.Code
 	replica ident.Upstream
 	firstAt time.Time
+	// pieceAt is when the last piece was passed on, gap the longest pause
+	// before one.
+	pieceAt time.Time
+	gap     time.Duration
 }
 
 // verdict is what becomes of a request after an attempt.
@@ -128,6 +135,12 @@
 		"request", x.r.ID, "route", x.route.Name, "replica", x.replica, "sends", x.sends,
 		"took", now.Sub(x.r.Arrival).Milliseconds(), "left", x.deadline.Sub(now).Milliseconds(),
 	}
+	if !x.firstAt.IsZero() {
+		fields = append(fields, "first", x.firstAt.Sub(x.r.Arrival).Milliseconds(), "gap", x.gap.Milliseconds())
+	}
+	if x.spaced > 0 {
+		fields = append(fields, "spaced", x.spaced.Milliseconds())
+	}
 	if x.waited != balance.Found {
 		fields = append(fields, "waited", x.waited.String())
 	}
@@ -158,6 +171,10 @@
 	x.g.Log.V(1).Info("sent", "request", x.r.ID, "replica", c.Replica.Name, "load", c.Load, "age", begun.Sub(c.LoadAt).Milliseconds())
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if err := x.space(ctx, c); err != nil {
+		return givenUp, err
+	}
+	begun = x.g.Clock()
 	a, err := x.g.Client.Send(ctx, x.outgoing(c, begun))
 	if err != nil {
 		var v verdict
@@ -180,6 +197,35 @@
 	return v, err
 }
 
+// space waits until the replica has time to read the prompt.
+func (x *exchange) space(ctx context.Context, c balance.Choice) error {
+	e := x.service.Engine
+	if e == nil || x.r.Tokens == 0 {
+		return nil
+	}
+	at, ok := x.g.Book(ctx, c.Replica, pace.Prompt{Tokens: x.r.Tokens, Pause: x.route.Pause, Stride: e.Stride})
+	if !ok {
+		return nil
+	}
+	x.g.booked(c, at)
+	wait := at.Sub(x.g.Clock())
+	if wait <= 0 {
+		return nil
+	}
+	x.spaced += wait
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		if x.g.Clock().Before(x.deadline) {
+			return errClientGone
+		}
+		return result.New(result.DeadlineHopeless, "replica %s has too much to read", c.Replica.Name)
+	}
+}
+
 func (x *exchange) outgoing(c balance.Choice, now time.Time) client.Exchange {
 	h := x.r.Header.Clone()
 	x.g.Dialect.Prepare(h, Send{
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-logr/logr"
 	"papayaspoke/core/coordination/balance"
+	"papayaspoke/core/coordination/pace"
 	"papayaspoke/core/coordination/placement"
 	"papayaspoke/core/ident"
 	"papayaspoke/core/result"
@@ -33,6 +34,8 @@
 	Deadline time.Time
 	// Weights are the model and adapter asked for, zero if none.
 	Weights placement.Weights
+	// Tokens is the length of the prompt, 0 if there is none.
+	Tokens int
 	// LastEvent is the number of the last event that the client has, from a
 	// stream that was cut; empty if it asks for all.
 	LastEvent string
@@ -81,6 +84,9 @@
 	Log        logr.Logger
 	Retries    balance.Allowance
 	Clock      func() time.Time
+	// Book books the reading of a prompt at a replica and returns when to send
+	// it; ok is false if nobody could be asked in time.
+	Book func(ctx context.Context, r balance.Replica, p pace.Prompt) (at time.Time, ok bool)
 	// Observe is told of every finished request.
 	Observe func(o Observation)
 }
@@ -312,3 +318,10 @@
 	defer g.mu.Unlock()
 	g.balancer.Done(g.Clock(), c, o, took)
 }
+
+// booked notes until when a replica has prompts to read.
+func (g *Gateway) booked(c balance.Choice, at time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.Booked(c.Replica.Name, at)
+}
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -59,6 +59,11 @@
 // pass writes whole events to the client, after the head of the first answer.
 func (x *exchange) pass(a *client.Answer, whole []byte) error {
 	x.head(a)
+	now := x.g.Clock()
+	if !x.pieceAt.IsZero() {
+		x.gap = max(x.gap, now.Sub(x.pieceAt))
+	}
+	x.pieceAt = now
 	if _, err := x.w.Write(whole); err != nil {
 		return err
 	}
--- a/io/protocol/peer/client.go
+++ b/io/protocol/peer/client.go
@@ -10,6 +10,7 @@
 	"papayaspoke/core/coordination/consensus"
 	"papayaspoke/core/coordination/dispatch/budget"
 	"papayaspoke/core/coordination/membership"
+	"papayaspoke/core/coordination/pace"
 	"papayaspoke/core/coordination/placement"
 	"papayaspoke/core/coordination/witness"
 	"papayaspoke/core/ident"
@@ -121,3 +122,14 @@
 	a, ok = boardsFromWire(resp.Msg, time.Now())
 	return a, ok, nil
 }
+
+// Book asks the daemon at addr when a prompt may be sent to a replica.
+func (c *Client) Book(ctx context.Context, addr string, name ident.Upstream, p pace.Prompt) (time.Time, error) {
+	resp, err := c.peer(addr).Book(ctx, connect.NewRequest(&peerpb.BookRequest{
+		Replica: string(name), Tokens: uint32(p.Tokens), Pause: millis(p.Pause), Stride: uint32(p.Stride),
+	}))
+	if err != nil {
+		return time.Time{}, err
+	}
+	return time.Now().Add(time.Duration(resp.Msg.GetWait()) * time.Millisecond), nil
+}
--- a/io/protocol/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/io/protocol/peer/peerpb/peerpbconnect/peer.connect.go
@@ -47,6 +47,8 @@
 	PeerReadIndexProcedure = "/papayaspoke.peer.Peer/ReadIndex"
 	// PeerUsageProcedure is the fully-qualified name of the Peer's Usage RPC.
 	PeerUsageProcedure = "/papayaspoke.peer.Peer/Usage"
+	// PeerBookProcedure is the fully-qualified name of the Peer's Book RPC.
+	PeerBookProcedure = "/papayaspoke.peer.Peer/Book"
 )
 
 // PeerClient is a client for the papayaspoke.peer.Peer service.
@@ -67,6 +69,8 @@
 	// Usage tells the placer what a daemon runs and wants, and returns where
 	// adapters are.
 	Usage(context.Context, *connect.Request[peerpb.UsageRequest]) (*connect.Response[peerpb.UsageResponse], error)
+	// Book asks the keeper of a replica's gate when a prompt may be sent there.
+	Book(context.Context, *connect.Request[peerpb.BookRequest]) (*connect.Response[peerpb.BookResponse], error)
 }
 
 // NewPeerClient constructs a client for the papayaspoke.peer.Peer service. By default, it uses the
@@ -122,6 +126,12 @@
 			connect.WithSchema(peerMethods.ByName("Usage")),
 			connect.WithClientOptions(opts...),
 		),
+		book: connect.NewClient[peerpb.BookRequest, peerpb.BookResponse](
+			httpClient,
+			baseURL+PeerBookProcedure,
+			connect.WithSchema(peerMethods.ByName("Book")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -134,6 +144,7 @@
 	permits   *connect.Client[peerpb.PermitsRequest, peerpb.PermitsResponse]
 	readIndex *connect.Client[peerpb.ReadIndexRequest, peerpb.ReadIndexResponse]
 	usage     *connect.Client[peerpb.UsageRequest, peerpb.UsageResponse]
+	book      *connect.Client[peerpb.BookRequest, peerpb.BookResponse]
 }
 
 // Consensus calls papayaspoke.peer.Peer.Consensus.
@@ -171,6 +182,11 @@
 	return c.usage.CallUnary(ctx, req)
 }
 
+// Book calls papayaspoke.peer.Peer.Book.
+func (c *peerClient) Book(ctx context.Context, req *connect.Request[peerpb.BookRequest]) (*connect.Response[peerpb.BookResponse], error) {
+	return c.book.CallUnary(ctx, req)
+}
+
 // PeerHandler is an implementation of the papayaspoke.peer.Peer service.
 type PeerHandler interface {
 	// Consensus delivers a batch of messages of the replicated log.
@@ -189,6 +205,8 @@
 	// Usage tells the placer what a daemon runs and wants, and returns where
 	// adapters are.
 	Usage(context.Context, *connect.Request[peerpb.UsageRequest]) (*connect.Response[peerpb.UsageResponse], error)
+	// Book asks the keeper of a replica's gate when a prompt may be sent there.
+	Book(context.Context, *connect.Request[peerpb.BookRequest]) (*connect.Response[peerpb.BookResponse], error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -240,6 +258,12 @@
 		connect.WithSchema(peerMethods.ByName("Usage")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerBookHandler := connect.NewUnaryHandler(
+		PeerBookProcedure,
+		svc.Book,
+		connect.WithSchema(peerMethods.ByName("Book")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/papayaspoke.peer.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerConsensusProcedure:
@@ -256,6 +280,8 @@
 			peerReadIndexHandler.ServeHTTP(w, r)
 		case PeerUsageProcedure:
 			peerUsageHandler.ServeHTTP(w, r)
+		case PeerBookProcedure:
+			peerBookHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -292,3 +318,7 @@
 func (UnimplementedPeerHandler) Usage(context.Context, *connect.Request[peerpb.UsageRequest]) (*connect.Response[peerpb.UsageResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("papayaspoke.peer.Peer.Usage is not implemented"))
 }
+
+func (UnimplementedPeerHandler) Book(context.Context, *connect.Request[peerpb.BookRequest]) (*connect.Response[peerpb.BookResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("papayaspoke.peer.Peer.Book is not implemented"))
+}
--- a/io/protocol/peer/service.go
+++ b/io/protocol/peer/service.go
@@ -10,6 +10,7 @@
 	"papayaspoke/core/coordination/consensus"
 	"papayaspoke/core/coordination/dispatch/budget"
 	"papayaspoke/core/coordination/membership"
+	"papayaspoke/core/coordination/pace"
 	"papayaspoke/core/coordination/placement"
 	"papayaspoke/core/coordination/witness"
 	"papayaspoke/core/ident"
@@ -49,6 +50,8 @@
 	ReadIndex func(ctx context.Context) (index uint64, ok bool)
 	// Usage answers a daemon's word to the placer; ok is false if this daemon
 	// is not the placer.
+	// Book books the reading of a prompt and returns when to send it.
+	Book  func(ctx context.Context, name ident.Upstream, p pace.Prompt) time.Time
 	Usage func(ctx context.Context, u placement.Usage) (a placement.Answer, ok bool)
 }
 
@@ -134,4 +137,12 @@
 	return connect.NewResponse(boardsToWire(a, ok, time.Now())), nil
 }
 
+func (h service) Book(ctx context.Context, r *connect.Request[peerpb.BookRequest]) (*connect.Response[peerpb.BookResponse], error) {
+	m := r.Msg
+	at := h.s.Book(ctx, ident.Upstream(m.GetReplica()), pace.Prompt{
+		Tokens: int(m.GetTokens()), Pause: time.Duration(m.GetPause()) * time.Millisecond, Stride: int(m.GetStride()),
+	})
+	return connect.NewResponse(&peerpb.BookResponse{Wait: millis(time.Until(at))}), nil
+}
+
 func malformed(err error) error { return connect.NewError(connect.CodeInvalidArgument, err) }
