--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -65,6 +65,7 @@
 		gateway: gateway.New(gateway.Config{
 			DataCentre: d.dataCentre, Client: conns, Dialect: dialect.Gateway, Log: d.log,
 			Retries: d.settings.Platform().Retries(), Clock: d.clock, Observe: d.observe, Book: d.book,
+			Gather: d.settings.Platform().Gather(),
 		}),
 	}
 }
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -61,6 +61,9 @@
 	// before one.
 	pieceAt time.Time
 	gap     time.Duration
+	// flushAt is when the next piece goes out at once; until gatherUntil a
+	// timer is set that sends what was gathered.
+	flushAt, gatherUntil time.Time
 }
 
 // verdict is what becomes of a request after an attempt.
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -84,6 +84,9 @@
 	Log        logr.Logger
 	Retries    balance.Allowance
 	Clock      func() time.Time
+	// Gather is how long pieces of a stream wait for others, so that they
+	// travel together; 0 sends each at once.
+	Gather time.Duration
 	// Book books the reading of a prompt at a replica and returns when to send
 	// it; ok is false if nobody could be asked in time.
 	Book func(ctx context.Context, r balance.Replica, p pace.Prompt) (at time.Time, ok bool)
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"papayaspoke/core/coordination/balance"
 	"papayaspoke/core/result"
@@ -67,10 +68,28 @@
 	if _, err := x.w.Write(whole); err != nil {
 		return err
 	}
-	if f, ok := x.w.(http.Flusher); ok {
+	x.flush(now)
+	return nil
+}
+
+// flush hands what was written to the network: at once if nothing was for a
+// while, else together with what follows soon. Each packet can be lost, and
+// one that is lost holds up the stream for longer than that.
+func (x *exchange) flush(now time.Time) {
+	f, ok := x.w.(http.Flusher)
+	if !ok {
+		return
+	}
+	if !now.Before(x.flushAt) {
+		x.flushAt = now.Add(x.g.Gather)
 		f.Flush()
+		return
+	}
+	if !now.Before(x.gatherUntil) {
+		x.gatherUntil = x.flushAt
+		time.AfterFunc(x.flushAt.Sub(now), f.Flush)
+		x.flushAt = x.flushAt.Add(x.g.Gather)
 	}
-	return nil
 }
 
 // head passes the head of an answer on, once.
--- a/io/settings/platform.go
+++ b/io/settings/platform.go
@@ -15,6 +15,7 @@
 	retries                          balance.Allowance
 	keep                             time.Duration
 	memory                           int
+	gather                           time.Duration
 }
 
 // On reports whether the daemon serves the platform.
@@ -45,6 +46,9 @@
 // Keep returns how long clients keep the answer to where to connect.
 func (p Platform) Keep() time.Duration { return p.keep }
 
+// Gather returns how long pieces of a stream may wait for others.
+func (p Platform) Gather() time.Duration { return p.gather }
+
 // Memory returns the process's limit in MiB, 0 if none was stated.
 func (p Platform) Memory() int { return p.memory }
 
@@ -61,6 +65,9 @@
 	Share     float64 `toml:"share"`
 	Extra     float64 `toml:"extra"`
 	Memory    int     `toml:"memory"`
+	// Pass is how late a piece of a stream may reach the client after it was
+	// made, 0 if the platform states no bound.
+	Pass float64 `toml:"pass"`
 }
 
 // Defaults of the table [platform], in seconds but for the share. They are
@@ -72,6 +79,9 @@
 	defaultWindow = 10
 	defaultShare  = 0.1
 	maxSeconds    = 3600
+	// gatherShare is the part of the time that a piece may take for which it
+	// waits for others; the rest is for its way.
+	gatherShare = 0.6
 )
 
 func (c *checker) platform(f platformPart) Platform {
@@ -97,6 +107,9 @@
 	if f.Share == 0 && f.Extra == 0 {
 		p.retries.Share = defaultShare
 	}
+	if f.Pass > 0 {
+		p.gather = time.Duration(gatherShare * float64(c.seconds("platform.pass", f.Pass, 0)))
+	}
 	if f.Memory < 0 {
 		c.addf("platform.memory", "platform.memory %d is negative", f.Memory)
 	}
