A disk that refuses writes is waited for; SIGHUP reloads the settings

A full disk ended the daemon, too, so that it restarted in a loop. Ruled out: going on to write to the same log file after a failed write, since nobody can tell what reached the disk. Change: settings are read again at SIGHUP and every 2 s, seeds are taken up, the rest is told in the log. The disk's writer reads the folder anew and writes all of it to fresh files until that works; nothing counts as synced meanwhile.

--- a/cmd/papayaspoked/main.go
+++ b/cmd/papayaspoked/main.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/integrii/flaggy"
 	"papayaspoke/core/result"
 	"papayaspoke/io/daemon"
@@ -55,14 +56,14 @@
 		fmt.Println("settings are valid:", path)
 		return 0
 	}
-	return start(s)
+	return start(path, s)
 }
 
 // stopTimeout bounds a graceful shutdown; it is longer than any request may
 // take.
 const stopTimeout = 10 * time.Minute
 
-func start(s settings.Settings) int {
+func start(path string, s settings.Settings) int {
 	log := logs.New(os.Stdout, s.Level()).WithValues("daemon", s.Name())
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
@@ -75,6 +76,7 @@
 			return fail(err)
 		}
 	}
+	go reload(stop, path, d, log)
 	select {
 	case <-stop.Done():
 	case <-d.Done():
@@ -95,6 +97,34 @@
 	return 0
 }
 
+// reloadInterval is how often the settings file is looked at for changes that
+// no signal tells of.
+const reloadInterval = 2 * time.Second
+
+// reload takes up changes of the settings file, at SIGHUP and now and then.
+func reload(ctx context.Context, path string, d *daemon.Daemon, log logr.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	tick := time.NewTicker(reloadInterval)
+	defer tick.Stop()
+	for {
+		asked := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			asked = true
+		case <-tick.C:
+		}
+		s, err := settings.Read(path)
+		if err != nil {
+			log.Error(err, "settings not reloaded", "path", path)
+			continue
+		}
+		d.Reload(s, asked)
+	}
+}
+
 func fail(err error) int {
 	code := result.CodeOf(err)
 	fmt.Fprintln(os.Stderr, err)
--- a/core/coordination/membership/membership.go
+++ b/core/coordination/membership/membership.go
@@ -85,15 +85,16 @@
 
 		settledAt: now.Add(settleTime),
 	}
-	for _, s := range c.Seeds {
-		if s != c.Own.Peer {
-			m.seeds = append(m.seeds, s)
-		}
-	}
+	m.setSeeds(c.Seeds)
 	m.publish(now)
 	return m
 }
 
+// setSeeds replaces the seeds, leaving out this daemon's own address.
+func (m *Membership) setSeeds(peers []string) {
+	m.seeds = slices.DeleteFunc(slices.Clone(peers), func(s string) bool { return s == m.own.Peer })
+}
+
 // Step takes an event and returns what is to be done about it, in order.
 func (m *Membership) Step(now time.Time, ev Event) []Effect {
 	m.out, m.changed = nil, false
@@ -110,6 +111,8 @@
 		m.probed(now, ev)
 	case Announce:
 		m.announced(now, ev.Upstream)
+	case Seeds:
+		m.setSeeds(ev.Peers)
 	case Load:
 		m.own.Waiting, m.own.Running = ev.Waiting, ev.Running
 	case Drain:
--- a/core/coordination/membership/message.go
+++ b/core/coordination/membership/message.go
@@ -56,6 +56,9 @@
 // Event is something that happened; [Membership.Step] takes it.
 type Event interface{ event() }
 
+// Seeds replaces the addresses to join through.
+type Seeds struct{ Peers []string }
+
 // Tick tells only that time has passed. It is due every 50 ms or so.
 type Tick struct{}
 
@@ -89,6 +92,7 @@
 type Drain struct{ ReachableUntil time.Time }
 
 func (Tick) event()        {}
+func (Seeds) event()       {}
 func (Received) event()    {}
 func (Answered) event()    {}
 func (Failed) event()      {}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -58,7 +58,9 @@
 	writer    *disk.Writer
 
 	callers, operators, peering *server.Server
-	booking                     booking
+	// diskFailed is true while the disk refuses writes.
+	diskFailed atomic.Bool
+	booking    booking
 	// platform is nil unless the settings have one.
 	platform *Platform
 }
@@ -161,7 +163,7 @@
 	if d.settings.Data() == "" {
 		return nil
 	}
-	f, err := disk.Open(d.settings.Data(), d.self)
+	f, err := d.openFolder()
 	if err != nil {
 		return err
 	}
@@ -181,6 +183,29 @@
 	return nil
 }
 
+// openFolder opens the data folder. A disk that refuses writes just now gets
+// time to recover: a process that ended over it would be started again and
+// again.
+func (d *Daemon) openFolder() (*disk.Folder, error) {
+	until := d.clock().Add(openTimeout)
+	for {
+		f, err := disk.Open(d.settings.Data(), d.self)
+		code := result.CodeOf(err)
+		if err == nil || code == result.DiskDamaged || code == result.DiskForeign || d.clock().After(until) {
+			return f, err
+		}
+		d.log.Error(err, "disk lost: the data folder can't be opened", "folder", d.settings.Data())
+		pause(d.ctx, openPause)
+	}
+}
+
+const (
+	// openTimeout is how long a disk may refuse to be opened, and openPause
+	// separates the tries.
+	openTimeout = 30 * time.Second
+	openPause   = 500 * time.Millisecond
+)
+
 func cryptoRandom(n int64) int64 {
 	v, err := rand.Int(rand.Reader, big.NewInt(n))
 	if err != nil {
--- a/io/settings/platform.go
+++ b/io/settings/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"reflect"
 	"time"
 
 	"papayaspoke/core/coordination/balance"
@@ -127,3 +128,11 @@
 	}
 	return time.Duration(v * float64(time.Second))
 }
+
+// Differs reports whether s and o differ in anything that only a start of the
+// daemon takes up.
+func (s Settings) Differs(o Settings) bool {
+	s.peers, o.peers = nil, nil
+	s.founder, o.founder = false, false
+	return !reflect.DeepEqual(s, o)
+}
--- a/io/transport/disk/folder.go
+++ b/io/transport/disk/folder.go
@@ -213,6 +213,37 @@
 	return f.append(body)
 }
 
+// Repair makes the folder usable after a failed Write, and stores the batches
+// that were not written. It reads anew what the files hold and writes all of it
+// to fresh files, since nobody can tell what of the failed write is on the disk.
+// If it fails, it may be called again.
+func (f *Folder) Repair(ps []consensus.Persist) error {
+	if f.log != nil {
+		// The library has nothing to write at the end but what has failed.
+		_ = f.log.Close()
+		f.log = nil
+	}
+	f.state = consensus.State{}
+	if err := f.loadCurrent(); err != nil {
+		return err
+	}
+	st := f.state
+	for _, p := range ps {
+		if s, ok := p.Snapshot.Get(); ok {
+			st = consensus.State{Hard: p.Hard, Snapshot: s, Entries: p.Entries}
+			continue
+		}
+		if err := merge(&st, p); err != nil {
+			return err
+		}
+	}
+	if err := f.startGeneration(f.generation+1, st); err != nil {
+		return err
+	}
+	f.failed = nil
+	return nil
+}
+
 // Recover replaces everything that the folder holds, for a forced recovery.
 // Open it anew afterwards.
 func (f *Folder) Recover(st consensus.State) error {
@@ -242,7 +273,7 @@
 }
 
 func (f *Folder) writeGeneration(g uint64, st consensus.State) error {
-	if st.Snapshot.Index > 0 {
+	if st.Snapshot.Index > 0 || g > 1 {
 		if err := f.replace(snapshotName(g), encodeSnapshot(st.Snapshot)); err != nil {
 			return err
 		}
--- a/io/transport/disk/writer.go
+++ b/io/transport/disk/writer.go
@@ -2,16 +2,23 @@
 
 import (
 	"sync"
+	"time"
 
 	"papayaspoke/core/coordination/consensus"
 )
 
+// defaultRepairPause is short against the time that the others go on without
+// this voter, and long against a sync.
+const defaultRepairPause = 200 * time.Millisecond
+
 // Writer writes batches on a goroutine of its own. Whatever is submitted while
 // a sync runs shares the next one.
 type Writer struct {
 	folder *Folder
 	// done is called after each sync with the last batch's number.
 	done func(number uint64, err error)
+	// repairPause separates tries to use a folder that refuses writes.
+	repairPause time.Duration
 
 	mu sync.Mutex
 	// queue holds the submitted batches in order.
@@ -23,10 +30,11 @@
 }
 
 // NewWriter starts a writer. It calls done from its goroutine, with the number
-// for a [consensus.Synced] event or with the error that ended the writing:
-// after that the process must stop, since it cannot know what the disk holds.
+// for a [consensus.Synced] event. An error with number 0 tells that the disk
+// refuses writes: nothing is reported as synced until it works again, and then
+// everything at once.
 func NewWriter(f *Folder, done func(number uint64, err error)) *Writer {
-	w := &Writer{folder: f, done: done, finished: make(chan struct{})}
+	w := &Writer{folder: f, done: done, finished: make(chan struct{}), repairPause: defaultRepairPause}
 	w.wake = sync.NewCond(&w.mu)
 	go w.run()
 	return w
@@ -56,14 +64,41 @@
 		if len(ps) == 0 {
 			return
 		}
-		err := w.folder.Write(ps)
-		w.done(ps[len(ps)-1].Number, err)
-		if err != nil {
-			return
+		if err := w.folder.Write(ps); err != nil {
+			w.done(0, err)
+			if ps = w.repair(ps); ps == nil {
+				return
+			}
+		}
+		w.done(ps[len(ps)-1].Number, nil)
+	}
+}
+
+// repair tries until the folder takes the batches and all that were submitted
+// meanwhile. It returns them, or nil if the writer is closed first.
+func (w *Writer) repair(ps []consensus.Persist) []consensus.Persist {
+	for {
+		time.Sleep(w.repairPause)
+		more, closed := w.waiting()
+		ps = append(ps, more...)
+		if err := w.folder.Repair(ps); err == nil {
+			return ps
+		}
+		if closed {
+			return nil
 		}
 	}
 }
 
+// waiting takes what was submitted, without waiting for it.
+func (w *Writer) waiting() ([]consensus.Persist, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ps := w.queue
+	w.queue = nil
+	return ps, w.closed
+}
+
 // take waits for batches; it returns none once the writer is closed.
 func (w *Writer) take() []consensus.Persist {
 	w.mu.Lock()
