--- a/core/coordination/consensus/cluster_test.go
+++ b/core/coordination/consensus/cluster_test.go
@@ -42,6 +42,7 @@
 	rand     *rand.Rand
 	machines []*machine
 	listed   []ident.Daemon
+	open     bool
 	network  []Message
 	clusters int
 
@@ -79,7 +80,7 @@
 }
 
 func (c *cluster) start(m *machine) {
-	s := Settings{Self: m.voter(), Listed: c.listed, Random: c.rand.Int63n, NewCluster: func() string {
+	s := Settings{Self: m.voter(), Listed: c.listed, Open: c.open, Random: c.rand.Int63n, NewCluster: func() string {
 		c.clusters++
 		return fmt.Sprintf("cluster%d", c.clusters)
 	}}
--- /dev/null
+++ b/core/coordination/pace/pace_test.go
@@ -0,0 +1,115 @@
+package pace
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"papayaspoke/core/ident"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+// TestPromptsInARowKeepPauses answers a clump of prompts for one replica, such
+// as a flood on one adapter brings: a piece of the streams that run there never
+// waits for more reading than the allowed pause.
+func TestPromptsInARowKeepPauses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var g Gate
+		p := Prompt{Pause: 300 * time.Millisecond, Stride: rapid.IntRange(1, 4).Draw(t, "stride")}
+		now := start
+		type reading struct{ from, to time.Time }
+		var all []reading
+		free := start
+		for range rapid.IntRange(1, 15).Draw(t, "prompts") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "ms")) * time.Millisecond)
+			p.Tokens = rapid.IntRange(1, 1200).Draw(t, "tokens")
+			at := g.Book(now, p)
+			assert.Assert(t, !at.Before(now))
+			if at.Sub(now) == maxWait {
+				return
+			}
+			// The engine reads in the order of arrival.
+			if free.Before(at) {
+				free = at
+			}
+			all = append(all, reading{free, free.Add(p.reading())})
+			free = free.Add(p.reading())
+		}
+		// What waits when a prompt is sent is read within one step.
+		for i, r := range all {
+			assert.Assert(t, i == 0 || r.from.Sub(all[i-1].to) >= 0)
+		}
+		for i := range all {
+			waiting := time.Duration(0)
+			for _, o := range all[i+1:] {
+				if o.from.Before(all[i].to) {
+					waiting += o.to.Sub(o.from)
+				}
+			}
+			assert.Assert(t, waiting <= max(p.budget(), 63*time.Millisecond))
+		}
+	})
+}
+
+func TestBook(t *testing.T) {
+	p := Prompt{Tokens: 1920, Pause: 300 * time.Millisecond, Stride: 2}
+	cases := map[string]struct {
+		before []int
+		wait   time.Duration
+	}{
+		"idle":           {nil, 0},
+		"behind a short": {[]int{192}, 0},
+		"behind a long":  {[]int{1920}, 81500 * time.Microsecond},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var g Gate
+			for _, n := range tc.before {
+				g.Book(start, Prompt{Tokens: n, Pause: p.Pause, Stride: p.Stride})
+			}
+			got := g.Book(start, p).Sub(start)
+			assert.Assert(t, got <= tc.wait && got >= tc.wait-5*time.Millisecond, "%s", got)
+		})
+	}
+}
+
+func TestBookIsBounded(t *testing.T) {
+	var g Gate
+	for range 1000 {
+		at := g.Book(start, Prompt{Tokens: 4000})
+		assert.Assert(t, at.Sub(start) <= maxWait)
+	}
+}
+
+func TestKeeperOf(t *testing.T) {
+	keepers := []Keeper{{"a1", "a"}, {"a2", "a"}, {"b1", "b"}}
+	cases := map[string]struct {
+		centre ident.DataCentre
+		among  map[ident.Daemon]bool
+	}{
+		"own data centre":                 {"b", map[ident.Daemon]bool{"b1": true}},
+		"several in the own data centre":  {"a", map[ident.Daemon]bool{"a1": true, "a2": true}},
+		"nobody in the own data centre":   {"c", map[ident.Daemon]bool{"a1": true, "a2": true, "b1": true}},
+		"a data centre that is not known": {"", map[ident.Daemon]bool{"a1": true, "a2": true, "b1": true}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := KeeperOf("r1", tc.centre, keepers)
+			assert.Assert(t, tc.among[got], "%s", got)
+			// The order in which daemons are known does not matter.
+			turned := []Keeper{keepers[2], keepers[0], keepers[1]}
+			assert.Equal(t, KeeperOf("r1", tc.centre, turned), got)
+		})
+	}
+	assert.Equal(t, KeeperOf("r1", "a", nil), ident.Daemon(""))
+}
+
+func TestGatesForgetReplicas(t *testing.T) {
+	var g Gates
+	p := Prompt{Tokens: 1920, Stride: 2}
+	g.Book(start, "r1", p)
+	g.Keep(func(ident.Upstream) bool { return false })
+	assert.Equal(t, g.Book(start, "r1", p), start)
+}
