--- a/cmd/papayaspoked/main.go
+++ b/cmd/papayaspoked/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -59,12 +60,20 @@
 	return start(path, s)
 }
 
+// logTimeout bounds how long a stopping daemon waits for the reader of its log.
+const logTimeout = 500 * time.Millisecond
+
 // stopTimeout bounds a graceful shutdown; it is longer than any request may
 // take.
 const stopTimeout = 10 * time.Minute
 
 func start(path string, s settings.Settings) int {
-	log := logs.New(os.Stdout, s.Level()).WithValues("daemon", s.Name())
+	buffered := logs.NewBuffered(os.Stdout, s.Level())
+	defer buffered.Close(logTimeout)
+	log := buffered.Logger().WithValues("daemon", s.Name())
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(logs.Lines(log))
+	log.Info("starting", "centre", s.DataCentre(), "folder", s.Data(), "platform", s.Platform().On())
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	d, err := daemon.New(s, log, platform.Dialect())
@@ -87,6 +96,7 @@
 		ctx, end := context.WithTimeout(context.Background(), s.Platform().Grace()*15/16)
 		defer end()
 		p.Drain(ctx)
+		log.Info("stopped")
 		return 0
 	}
 	ctx, end := context.WithTimeout(context.Background(), stopTimeout)
--- a/core/coordination/balance/balance.go
+++ b/core/coordination/balance/balance.go
@@ -70,8 +70,21 @@
 	// newest knowledge, which is that of LoadAt.
 	Load   int
 	LoadAt time.Time
+	// Cost is what the choice seemed to cost, Others what some of the other
+	// replicas that could have run the request seemed to.
+	Cost   float64
+	Others []Considered
 }
 
+// Considered is a replica that was not chosen.
+type Considered struct {
+	Name ident.Upstream
+	Cost float64
+}
+
+// maxOthers bounds the replicas that a choice tells of.
+const maxOthers = 3
+
 // Miss tells why there is no choice.
 type Miss uint8
 
@@ -223,7 +236,8 @@
 func (b *Balancer) Pick(now time.Time, q Query) (Choice, Miss, time.Time) {
 	miss, at := Nobody, time.Time{}
 	var best *peer
-	least, load := 0.0, 0.0
+	least := 0.0
+	var others []Considered
 	var version uint64
 	for _, ejected := range []bool{false, true} {
 		for _, name := range b.services[q.Service] {
@@ -239,9 +253,15 @@
 				miss, at = betterMiss(miss, at, m, h.ReadyAt)
 				continue
 			}
-			if load = b.cost(now, p); best == nil || load < least {
-				best, least, version = p, load, h.Version
+			cost := b.cost(now, p)
+			if best == nil || cost < least {
+				if best != nil {
+					others = append(others, Considered{best.Name, least})
+				}
+				best, least, version = p, cost, h.Version
+				continue
 			}
+			others = append(others, Considered{name, cost})
 		}
 		// A replica that failed lately is better than none, but for adapters:
 		// those can be loaded elsewhere.
@@ -257,7 +277,7 @@
 	best.own++
 	return Choice{
 		Replica: best.Replica, Weights: q.Weights, Version: version,
-		Load: best.own + best.others, LoadAt: b.heardAt,
+		Load: best.own + best.others, LoadAt: b.heardAt, Cost: least, Others: others[:min(len(others), maxOthers)],
 	}, Found, time.Time{}
 }
 
--- a/core/coordination/placement/place.go
+++ b/core/coordination/placement/place.go
@@ -115,6 +115,9 @@
 	return slices.ContainsFunc(s.plan, func(o Order) bool { return o.Load && o.Weights == w })
 }
 
+// Transit returns how many adapters are under way to replicas.
+func (p *Placer) Transit(now time.Time) int { return p.transit(now) }
+
 // transit counts the adapters that are under way, or about to be.
 func (p *Placer) transit(now time.Time) int {
 	n := 0
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -70,8 +70,8 @@
 }
 
 func TestEveryCommandIsDescribed(t *testing.T) {
-	page := read(t, "docs/OPERATING.md")
+	page := read(t, "docs/OPERATIONS.md")
 	for _, c := range terminal.Commands() {
-		assert.Check(t, strings.Contains(page, "| `papayaspoke "+c+"`"), "docs/OPERATING.md does not describe papayaspoke %s", c)
+		assert.Check(t, strings.Contains(page, "| `papayaspoke "+c+"`"), "docs/OPERATIONS.md does not describe papayaspoke %s", c)
 	}
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -58,6 +58,8 @@
 	writer    *disk.Writer
 
 	callers, operators, peering *server.Server
+	// scraped shows metrics without a token; nil unless the settings say so.
+	scraped *server.Server
 	// diskFailed is true while the disk refuses writes.
 	diskFailed atomic.Bool
 	booking    booking
@@ -239,6 +241,11 @@
 	if d.operators, err = server.Listen(d.settings.Operator().String(), admin, opts); err != nil {
 		return err
 	}
+	if a := d.settings.Metrics(); a.IsValid() {
+		if d.scraped, err = server.Listen(a.String(), d.metrics.Handler(), opts); err != nil {
+			return err
+		}
+	}
 	opts.MaxBody = maxPeerBody
 	d.peering, err = server.Listen(d.settings.Peer().String(), d.peerHandler(), opts)
 	return err
@@ -326,6 +333,9 @@
 	for _, s := range []*server.Server{d.callers, d.operators, d.peering} {
 		s.Close()
 	}
+	if d.scraped != nil {
+		d.scraped.Close()
+	}
 	if d.writer != nil {
 		d.writer.Close()
 		_ = d.folder.Close()
--- a/io/daemon/meter.go
+++ b/io/daemon/meter.go
@@ -67,6 +67,9 @@
 	} {
 		s.Gauge(name).Update(v)
 	}
+	if d.platform != nil {
+		d.platform.gaugeRouted(s, now)
+	}
 }
 
 func flag(v bool) float64 {
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -64,7 +64,7 @@
 		d: d, dialect: dialect, replicas: conns,
 		gateway: gateway.New(gateway.Config{
 			DataCentre: d.dataCentre, Client: conns, Dialect: dialect.Gateway, Log: d.log,
-			Retries: d.settings.Platform().Retries(), Clock: d.clock, Observe: d.observe, Book: d.book,
+			Retries: d.settings.Platform().Retries(), Clock: d.clock, Observe: newRoutedMeter(d.metrics.Scope()).observe, Book: d.book,
 			Gather: d.settings.Platform().Gather(),
 		}),
 	}
@@ -283,17 +283,5 @@
 	return out
 }
 
-// observe counts a finished request.
-func (d *Daemon) observe(o gateway.Observation) {
-	d.count("routed", codeErr(o.Code))
-}
-
-func codeErr(c result.Code) error {
-	if c == result.OK {
-		return nil
-	}
-	return result.New(c, "")
-}
-
 // Log returns the daemon's logger.
 func (p *Platform) Log() logr.Logger { return p.d.log }
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"papayaspoke/core/coordination/balance"
@@ -153,6 +156,16 @@
 	x.g.Log.Info(how, fields...)
 }
 
+// logChoice writes the line that tells where the request goes and why.
+func (x *exchange) logChoice(c balance.Choice, now time.Time) {
+	var instead strings.Builder
+	for _, o := range c.Others {
+		fmt.Fprintf(&instead, "%s:%.2f ", o.Name, o.Cost)
+	}
+	x.g.Log.Info("routed", "request", x.r.ID, "route", x.route.Name, "replica", c.Replica.Name, "cost", math.Round(100*c.Cost)/100,
+		"load", c.Load, "age", now.Sub(c.LoadAt).Milliseconds(), "adapter", x.r.Weights.Adapter, "instead", instead.String())
+}
+
 func (x *exchange) observe() {
 	o := Observation{
 		Route: x.route.Name, Code: x.code, Replica: x.replica, Sends: x.sends,
@@ -171,7 +184,7 @@
 	outcome := balance.Neutral
 	defer func() { x.g.done(c, outcome, x.g.Clock().Sub(begun)) }()
 	x.replica = c.Replica.Name
-	x.g.Log.V(1).Info("sent", "request", x.r.ID, "replica", c.Replica.Name, "load", c.Load, "age", begun.Sub(c.LoadAt).Milliseconds())
+	x.logChoice(c, begun)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if err := x.space(ctx, c); err != nil {
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 
 	"github.com/go-logr/logr"
@@ -21,9 +22,20 @@
 		defer mu.Unlock()
 		fmt.Fprintln(w, line)
 	}
-	return funcr.NewJSON(write, funcr.Options{
-		LogTimestamp:    true,
-		TimestampFormat: timestampFormat,
-		Verbosity:       level,
-	})
+	return funcr.NewJSON(write, options(level))
+}
+
+func options(level int) funcr.Options {
+	return funcr.Options{LogTimestamp: true, TimestampFormat: timestampFormat, Verbosity: level}
+}
+
+// Lines returns a writer that logs each line, for libraries that write to the
+// standard logger.
+func Lines(log logr.Logger) io.Writer { return lines{log} }
+
+type lines struct{ log logr.Logger }
+
+func (l lines) Write(b []byte) (int, error) {
+	l.log.Info("library", "text", strings.TrimSpace(string(b)))
+	return len(b), nil
 }
--- a/io/terminal/commands.go
+++ b/io/terminal/commands.go
@@ -20,6 +20,8 @@
 	list string
 	// run replaces kind and list where the command does something else.
 	run func(*session) error
+	// offline is true if the command asks no daemon and needs no token.
+	offline bool
 }
 
 var change = []string{"expect", "id", "author"}
@@ -49,6 +51,7 @@
 	{group: "history", title: "List the latest changes", example: "papayaspoke history", list: "history"},
 	{group: "dump", title: "Print the state of the daemon at the first address", example: "papayaspoke dump", run: dump},
 	{group: "metrics", title: "Print the metrics of the daemon at the first address", example: "papayaspoke metrics", run: metrics},
+	{group: "trace", title: "Print what the given logs say of one request, in the order of time", example: "papayaspoke trace 9c41d07be2a35f68 --log piraeus-1.log --log marousi-2.log", arg: "id", flags: []string{"log"}, run: trace, offline: true},
 	{group: "recover", title: "Start a new cluster from the newest state any daemon holds, after the loss of a majority of voters", example: "papayaspoke recover --yes", flags: []string{"yes"}, run: recoverCluster},
 }
 
--- a/io/terminal/terminal.go
+++ b/io/terminal/terminal.go
@@ -37,6 +37,7 @@
 	id        string
 	author    string
 	yes       bool
+	logs      []string
 	arg       string
 }
 
@@ -69,6 +70,9 @@
 	"author": func(sc *flaggy.Subcommand, o *options) {
 		sc.String(&o.author, "", "author", "Who makes the change, for the history")
 	},
+	"log": func(sc *flaggy.Subcommand, o *options) {
+		sc.StringSlice(&o.logs, "", "log", "Log of a daemon; may be repeated")
+	},
 	"yes": func(sc *flaggy.Subcommand, o *options) { sc.Bool(&o.yes, "", "yes", "Confirm") },
 }
 
@@ -82,7 +86,10 @@
 	if err != nil {
 		return fail(errOut, err)
 	}
-	token, err := os.ReadFile(opts.token)
+	var token []byte
+	if !cmd.offline {
+		token, err = os.ReadFile(opts.token)
+	}
 	if err != nil {
 		return fail(errOut, result.New(result.WrongToken, "--token: %w", err))
 	}
--- a/io/terminal/terminal_test.go
+++ b/io/terminal/terminal_test.go
@@ -235,3 +235,28 @@
 		})
 	}
 }
+
+func TestTrace(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	first := write("a.log", `{"ts":"2026-12-04T10:00:00.250Z","msg":"answered","daemon":"a","request":"r1","took":250}
+not json r1
+{"ts":"2026-12-04T10:00:00.100Z","msg":"routed","daemon":"a","request":"r1","replica":"x"}
+{"ts":"2026-12-04T10:00:00.100Z","msg":"routed","daemon":"a","request":"r2","replica":"r1"}
+`)
+	second := write("b.log", `  12.5 b {"ts":"2026-12-04T10:00:00.200Z","msg":"sent again","daemon":"b","request":"r1"}`)
+	var out, errOut bytes.Buffer
+	assert.Equal(t, terminal.Run([]string{"trace", "r1", "--log", first, "--log", second}, &out, &errOut), 0, errOut.String())
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	assert.Equal(t, len(lines), 3)
+	for i, want := range []string{"routed", "sent again", "answered"} {
+		assert.Assert(t, strings.Contains(lines[i], want), lines[i])
+	}
+	out.Reset()
+	assert.Equal(t, terminal.Run([]string{"trace", "r9", "--log", first}, &out, &errOut), result.Exit(result.NotFound))
+	assert.Equal(t, terminal.Run([]string{"trace", "r9", "--log", filepath.Join(dir, "none")}, &out, &errOut), result.Exit(result.NotFound))
+}
