Orders without an answer are given again; replicas that several daemons avoid get no adapters

Cause: adapters of a crashed or slow replica waited for its record to expire, since the placer took them for placed; with orders unanswered half of the loads waited for 13 s; clients give up on answers that have not begun. Ruled out: dropping a place at once after a lost order (property test: five adapters at four places, a late load after a late unload, now reserved). Change: daemons tell whom they avoid; an unanswered order is repeated up to four times while its place stays reserved; requests wait two targets at most and hear at once when a replica is booked beyond that.

--- a/cmd/papayaspoked/main.go
+++ b/cmd/papayaspoked/main.go
@@ -61,7 +61,7 @@
 }
 
 // logTimeout bounds how long a stopping daemon waits for the reader of its log.
-const logTimeout = 500 * time.Millisecond
+const logTimeout = 200 * time.Millisecond
 
 // stopTimeout bounds a graceful shutdown; it is longer than any request may
 // take.
@@ -93,7 +93,7 @@
 	}
 	if p := d.Platform(); p != nil {
 		log.Info("stopping")
-		ctx, end := context.WithTimeout(context.Background(), s.Platform().Grace()*15/16)
+		ctx, end := context.WithTimeout(context.Background(), s.Platform().Grace()*7/8)
 		defer end()
 		p.Drain(ctx)
 		log.Info("stopped")
--- a/core/coordination/balance/balance.go
+++ b/core/coordination/balance/balance.go
@@ -126,7 +126,8 @@
 	faultAt      time.Time
 	// freeAt is when it had time for the prompt that was booked last.
 	freeAt time.Time
-	// mean is the mean duration of good answers, 0 if there was none.
+	// mean is the mean time to the first piece of good answers, 0 if there was
+	// none.
 	mean time.Duration
 }
 
@@ -213,8 +214,8 @@
 func (b *Balancer) HeardAt() time.Time { return b.heardAt }
 
 // Usage returns what to tell the placer, and starts a new count.
-func (b *Balancer) Usage() placement.Usage {
-	u := placement.Usage{DataCentre: b.centre, Fence: b.fence, Revision: b.revision}
+func (b *Balancer) Usage(now time.Time) placement.Usage {
+	u := placement.Usage{DataCentre: b.centre, Fence: b.fence, Revision: b.revision, Avoid: b.avoided(now)}
 	b.told = make(map[ident.Upstream]int, len(b.peers))
 	for _, name := range slices.Sorted(maps.Keys(b.peers)) {
 		p := b.peers[name]
@@ -315,10 +316,7 @@
 	if p.ejections > 0 || p.faults > 0 {
 		c *= 2
 	}
-	if mean := b.meanOf(p.Service, p.Name); mean > 0 && p.mean > slowFactor*mean {
-		c *= float64(p.mean) / float64(mean)
-	}
-	return c
+	return c * b.slow(p)
 }
 
 // Booked notes when a replica has time for a prompt.
@@ -358,7 +356,8 @@
 	Unreachable
 )
 
-// Done ends a request that Pick counted.
+// Done ends a request that Pick counted; took is the time to the first piece
+// of a good answer.
 func (b *Balancer) Done(now time.Time, c Choice, o Outcome, took time.Duration) {
 	p := b.peers[c.Replica.Name]
 	if p == nil || p.Incarnation != c.Replica.Incarnation {
@@ -392,6 +391,27 @@
 	p.ejections++
 }
 
+// avoided returns the replicas that are left out or slow.
+func (b *Balancer) avoided(now time.Time) []ident.Upstream {
+	out := b.Ejected(now)
+	for name, p := range b.peers {
+		if !now.Before(p.ejectedUntil) && b.slow(p) > 1 {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// slow returns how many times longer p takes than the others of its service,
+// or 1 if that is within what load explains.
+func (b *Balancer) slow(p *peer) float64 {
+	if mean := b.meanOf(p.Service, p.Name); mean > 0 && p.mean > slowFactor*mean {
+		return float64(p.mean) / float64(mean)
+	}
+	return 1
+}
+
 // Ejected returns the replicas that are left out.
 func (b *Balancer) Ejected(now time.Time) []ident.Upstream {
 	var out []ident.Upstream
--- a/core/coordination/pace/pace.go
+++ b/core/coordination/pace/pace.go
@@ -18,8 +18,8 @@
 	slack = 0.9
 	// defaultPause is assumed where the operator states no pause.
 	defaultPause = 300 * time.Millisecond
-	// maxWait bounds how far ahead a gate is booked: beyond, spacing prompts
-	// out would cost more than the pauses.
+	// maxWait bounds how far ahead a gate is booked: no client waits longer
+	// for an answer to begin.
 	maxWait = 1500 * time.Millisecond
 )
 
@@ -57,7 +57,8 @@
 
 // Book returns when the prompt may be sent. A short prompt may be sent while
 // another is read, as long as both fit into one step; after a long one the
-// replica gets time for the tokens that had to wait.
+// replica gets time for the tokens that had to wait. A time more than maxWait
+// ahead only tells how busy the replica is: nothing is booked then.
 func (g *Gate) Book(now time.Time, p Prompt) time.Time {
 	budget, reading := p.budget(), p.reading()
 	if g.free.Before(now) {
@@ -68,7 +69,7 @@
 		start = now
 	}
 	if start.Sub(now) > maxWait {
-		return now.Add(maxWait)
+		return start
 	}
 	g.free = g.free.Add(reading + stepTime/2 + max(0, reading-budget)/2)
 	return start
--- a/core/coordination/placement/message.go
+++ b/core/coordination/placement/message.go
@@ -64,6 +64,8 @@
 	Runs     []Run
 	Demands  []Demand
 	Listings []Listing
+	// Avoid names replicas that the daemon can't reach or finds slow.
+	Avoid []ident.Upstream
 }
 
 // Board is what the placer believes that a replica holds.
--- a/core/coordination/placement/place.go
+++ b/core/coordination/placement/place.go
@@ -51,6 +51,7 @@
 // place gives what orders it can for what is wanted.
 func (p *Placer) place(now time.Time) {
 	p.expire(now)
+	p.setAvoided(now)
 	p.replaceStale(now)
 	p.placeModels(now)
 	for _, w := range p.ordered(now) {
@@ -98,7 +99,7 @@
 // placed reports whether a replica holds w, fetches it or is about to.
 func (p *Placer) placed(w Weights, version uint64) bool {
 	for _, s := range p.seats {
-		if s.Leaving {
+		if s.Leaving || p.avoids(s) {
 			continue
 		}
 		if sl := s.slots[w]; sl != nil && sl.usable() && sl.version >= version {
@@ -111,6 +112,27 @@
 	return false
 }
 
+// setAvoided notes which replicas are to be avoided, unless they are too many.
+func (p *Placer) setAvoided(now time.Time) {
+	clear(p.away)
+	for name, s := range p.seats {
+		for d, until := range s.avoided {
+			if now.After(until) {
+				delete(s.avoided, d)
+			}
+		}
+		// One daemon alone may have lost its way to the replica.
+		if len(s.avoided) >= min(2, len(p.daemons)) && len(s.avoided) > 0 {
+			p.away[name] = true
+		}
+	}
+	if float64(len(p.away)) > avoidShare*float64(len(p.seats)) {
+		clear(p.away)
+	}
+}
+
+func (p *Placer) avoids(s *seat) bool { return p.away[s.Name] }
+
 func (s *seat) plans(w Weights) bool {
 	return slices.ContainsFunc(s.plan, func(o Order) bool { return o.Load && o.Weights == w })
 }
@@ -174,7 +196,7 @@
 	best := option{cost: math.Inf(1)}
 	for _, name := range slices.Sorted(maps.Keys(p.seats)) {
 		s := p.seats[name]
-		if !s.takes(now, w, service) {
+		if p.avoids(s) || !s.takes(now, w, service) {
 			continue
 		}
 		if o, ok := p.optionAt(now, s, w); ok && o.cost < best.cost {
@@ -240,7 +262,7 @@
 	least, found := math.Inf(1), false
 	for w, sl := range s.slots {
 		idle := now.Sub(sl.usedAt) > idleBeforeDrop && now.Sub(sl.readyAt) > idleBeforeDrop
-		if w.IsModel() || !sl.usable() || !idle || p.wants[w] != nil || p.runningOf(s.Name, w) > 0 {
+		if w.IsModel() || !sl.usable() || !idle || now.Before(sl.reservedUntil) || p.wants[w] != nil || p.runningOf(s.Name, w) > 0 {
 			continue
 		}
 		value := p.rates[w].now(now) * diskTime.Seconds() / float64(p.holders(w))
@@ -320,7 +342,7 @@
 	for _, s := range p.seats {
 		for w, sl := range s.slots {
 			version := p.named[w]
-			if w.IsModel() || version == 0 || sl.version >= version || !sl.usable() || sl.readyAt.After(now) {
+			if w.IsModel() || version == 0 || sl.version >= version || !sl.usable() || sl.readyAt.After(now) || now.Before(sl.reservedUntil) {
 				continue
 			}
 			if !p.placed(w, version) && p.rates[w].now(now) > 0.5 && p.transit(now) < MaxTransit {
@@ -407,7 +429,11 @@
 		return p.take()
 	}
 	s.ordered = false
-	s.plan = s.plan[1:]
+	if s.tries++; v == Unanswered && s.tries < maxTries {
+		p.again(now, s, o)
+		return p.take()
+	}
+	s.plan, s.tries = s.plan[1:], 0
 	if o.Load {
 		p.loaded(now, s, o, v)
 	} else {
@@ -417,8 +443,24 @@
 	return p.take()
 }
 
+// again gives an order once more that got no answer. If the first one is
+// carried out later, it finds what the second has done; until then the place
+// stays taken.
+func (p *Placer) again(now time.Time, s *seat, o Order) {
+	if o.Load && s.slots[o.Weights] == nil {
+		s.slots[o.Weights] = &slot{version: o.Version, usedAt: now, changed: now, readyAt: now, doubtUntil: now.Add(lostAfter)}
+	}
+	if sl := s.slots[o.Weights]; sl != nil && o.Load {
+		sl.reservedUntil = now.Add(lostAfter)
+	}
+	p.send(now)
+}
+
 func (p *Placer) loaded(now time.Time, s *seat, o Order, v Verdict) {
 	sl := &slot{version: o.Version, usedAt: now, changed: now, readyAt: now}
+	if old := s.slots[o.Weights]; old != nil {
+		sl.reservedUntil = old.reservedUntil
+	}
 	switch v {
 	case Begun:
 		sl.readyAt = now.Add(p.duration(now, s, o.Weights) + settle)
@@ -433,6 +475,9 @@
 		s.restUntil = now.Add(busyRetry)
 		return
 	}
+	if v == Unanswered {
+		sl.reservedUntil = now.Add(lostAfter)
+	}
 	s.slots[o.Weights] = sl
 	p.touch(s)
 }
--- a/core/coordination/placement/placer.go
+++ b/core/coordination/placement/placer.go
@@ -36,6 +36,14 @@
 	forgetDaemon = 2 * time.Second
 	// demandFor is how long a demand counts that is not repeated.
 	demandFor = 700 * time.Millisecond
+	// avoidFor is how long the word of a daemon counts that a replica is not
+	// to be relied on.
+	avoidFor = time.Second
+	// avoidShare is the part of all replicas that may be avoided: if more are,
+	// the fault is likely to be elsewhere.
+	avoidShare = 0.4
+	// maxTries is how often an order without an answer is given.
+	maxTries = 4
 	// busyRetry is how long a replica that refused an order gets no other.
 	busyRetry = 100 * time.Millisecond
 	// lostAfter is how long an unanswered order may still be carried out.
@@ -47,6 +55,9 @@
 	version uint64
 	// readyAt is when it can be used, changed when it was last ordered.
 	readyAt, changed time.Time
+	// reservedUntil is until when its place must not be given away, since an
+	// order without an answer may still bring it.
+	reservedUntil time.Time
 	// usedAt is when a request last used it.
 	usedAt time.Time
 	// leaving is true from the order to unload until a later listing.
@@ -68,6 +79,10 @@
 	// ordered is true.
 	plan    []Order
 	ordered bool
+	// tries counts how often the first order of the plan was given.
+	tries int
+	// avoided holds until when daemons keep away from the replica.
+	avoided map[ident.Daemon]time.Time
 	// restUntil is until when no order is given.
 	restUntil time.Time
 	// askAt is when the listing may be asked for again.
@@ -115,7 +130,9 @@
 	// named holds the versions that were named, by weights.
 	named map[Weights]uint64
 	// fetch is how long an adapter takes from the store, as learned.
-	fetch  time.Duration
+	fetch time.Duration
+	// away holds the replicas that are to be avoided now.
+	away   map[ident.Upstream]bool
 	copyAt time.Time
 	out    Effects
 }
@@ -129,6 +146,7 @@
 		wants:   make(map[Weights]*want),
 		rates:   make(map[Weights]*rate),
 		named:   make(map[Weights]uint64),
+		away:    make(map[ident.Upstream]bool),
 	}
 }
 
@@ -159,7 +177,7 @@
 func (p *Placer) setReplica(now time.Time, r Replica) {
 	s := p.seats[r.Name]
 	if s == nil {
-		s = &seat{kept: make(map[Weights]time.Time)}
+		s = &seat{kept: make(map[Weights]time.Time), avoided: make(map[ident.Daemon]time.Time)}
 		p.seats[r.Name] = s
 	}
 	if s.slots == nil || s.Incarnation != r.Incarnation {
@@ -197,6 +215,11 @@
 	for _, r := range u.Runs {
 		p.used(now, r)
 	}
+	for _, name := range u.Avoid {
+		if s := p.seats[name]; s != nil {
+			s.avoided[u.Daemon] = now.Add(avoidFor)
+		}
+	}
 	for _, d := range u.Demands {
 		p.demanded(now, u, d)
 	}
@@ -316,7 +339,7 @@
 // thought, so only one made a good while later does.
 func (s *slot) absentIn(madeAt time.Time) bool {
 	since := s.changed
-	for _, t := range []time.Time{s.readyAt, s.doubtUntil} {
+	for _, t := range []time.Time{s.readyAt, s.doubtUntil, s.reservedUntil} {
 		if t.After(since) {
 			since = t
 		}
--- a/io/daemon/placer.go
+++ b/io/daemon/placer.go
@@ -25,7 +25,7 @@
 	// usageTimeout bounds one of them.
 	usageTimeout = 300 * time.Millisecond
 	// orderTimeout bounds an order to a replica.
-	orderTimeout = 500 * time.Millisecond
+	orderTimeout = 200 * time.Millisecond
 )
 
 // placing is the part of the control loop that has to do with placement.
--- a/io/gateway/acquire.go
+++ b/io/gateway/acquire.go
@@ -7,6 +7,7 @@
 	"papayaspoke/core/coordination/balance"
 	"papayaspoke/core/ident"
 	"papayaspoke/core/result"
+	"papayaspoke/core/routes"
 )
 
 const (
@@ -18,6 +19,9 @@
 	// back than by hearing late that nothing was possible.
 	waitShare = 0.5
 	waitMost  = 4 * time.Second
+	// waitTargets is how many times the route's target a request waits at most:
+	// clients give up on an answer that has not begun.
+	waitTargets = 2
 	// nobodyMost is how long a request waits for a service without replicas.
 	nobodyMost = time.Second
 )
@@ -51,7 +55,7 @@
 // await waits until it is worth to look again.
 func (x *exchange) await(ctx context.Context, begun time.Time, miss balance.Miss, at time.Time, changed <-chan struct{}) error {
 	now := x.g.Clock()
-	end := begun.Add(min(time.Duration(waitShare*float64(x.deadline.Sub(begun))), waitMost))
+	end := earlier(x.patience(), begun.Add(waitMost))
 	if miss == balance.Nobody {
 		end = earlier(end, begun.Add(nobodyMost))
 	}
@@ -76,6 +80,15 @@
 	return nil
 }
 
+// patience returns until when the request may wait before it is sent.
+func (x *exchange) patience() time.Time {
+	end := x.r.Arrival.Add(time.Duration(waitShare * float64(x.deadline.Sub(x.r.Arrival))))
+	if x.route.Kind == routes.Stream && x.route.Target > 0 {
+		end = earlier(end, x.r.Arrival.Add(waitTargets*x.route.Target))
+	}
+	return end
+}
+
 func (x *exchange) notPlaced(miss balance.Miss) error {
 	back := x.g.Clock().Add(refusalPause)
 	if miss == balance.Absent || miss == balance.Coming {
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -182,7 +182,13 @@
 func (x *exchange) attempt(ctx context.Context, c balance.Choice) (verdict, error) {
 	begun := x.g.Clock()
 	outcome := balance.Neutral
-	defer func() { x.g.done(c, outcome, x.g.Clock().Sub(begun)) }()
+	defer func() {
+		first := x.g.Clock()
+		if x.firstAt.After(begun) {
+			first = x.firstAt
+		}
+		x.g.done(c, outcome, first.Sub(begun))
+	}()
 	x.replica = c.Replica.Name
 	x.logChoice(c, begun)
 	ctx, cancel := context.WithCancel(ctx)
@@ -223,6 +229,9 @@
 	if !ok {
 		return nil
 	}
+	if at.After(x.patience()) {
+		return result.New(result.Overloaded, "replica %s has prompts to read until %s later", c.Replica.Name, at.Sub(x.g.Clock())).WithRetryAfter(at)
+	}
 	x.g.booked(c, at)
 	wait := at.Sub(x.g.Clock())
 	if wait <= 0 {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -194,7 +194,7 @@
 func (g *Gateway) Usage() placement.Usage {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	u := g.balancer.Usage()
+	u := g.balancer.Usage(g.Clock())
 	for w, d := range g.demands {
 		u.Demands = append(u.Demands, placement.Demand{
 			Service: d.service, Weights: w, Version: d.version, Waiting: d.waiting, Missed: d.missed,
--- a/io/protocol/peer/placement.go
+++ b/io/protocol/peer/placement.go
@@ -24,6 +24,9 @@
 			Version: d.Version, Waiting: uint32(max(d.Waiting, 0)), Missed: string(d.Missed),
 		})
 	}
+	for _, name := range u.Avoid {
+		p.Avoid = append(p.Avoid, string(name))
+	}
 	for _, l := range u.Listings {
 		p.Listings = append(p.Listings, &peerpb.Listing{
 			Replica: string(l.Replica), Incarnation: uint64(l.Incarnation), Age: millis(now.Sub(l.MadeAt)),
@@ -50,6 +53,9 @@
 			Version: d.GetVersion(), Waiting: int(d.GetWaiting()), Missed: ident.Upstream(d.GetMissed()),
 		})
 	}
+	for _, name := range p.GetAvoid() {
+		u.Avoid = append(u.Avoid, ident.Upstream(name))
+	}
 	for _, l := range p.GetListings() {
 		u.Listings = append(u.Listings, placement.Listing{
 			Replica: ident.Upstream(l.GetReplica()), Incarnation: ident.Incarnation(l.GetIncarnation()),
