Orders carry the number of orders accepted before; a silent placer is replaced sooner

Ruled out: reserving places in the placer alone, since a successor knows nothing of them (property test with placers that follow each other). Change: an order names how many the replica must have accepted; a listing with that number is exact and replaces what was believed; a refusal makes the placer ask. The office counts its wait from the last read that a lease can rest on, and a retired placer that makes reads again is appointed at once.

--- a/core/coordination/appoint/appoint.go
+++ b/core/coordination/appoint/appoint.go
@@ -16,6 +16,12 @@
 	LeaseFor = time.Second
 	// margin covers the drift of clocks and an order on its way.
 	margin = 400 * time.Millisecond
+	// silentAfter is how long a placer may go without a read before it counts
+	// as out of touch; it makes four in each lease.
+	silentAfter = LeaseFor + LeaseFor/5
+	// seenFor is how fresh a read must be to show that a retired placer is in
+	// touch again; it goes on to make four in each lease.
+	seenFor = LeaseFor / 2
 	// repeatAfter is when a proposal that has had no effect is made again.
 	repeatAfter = 500 * time.Millisecond
 )
@@ -37,44 +43,64 @@
 	// rivalFor is how long after the last order of one holder replicas take
 	// those of another for a rival's.
 	rivalFor time.Duration
-	// seen is the retirement seen last, and since when.
-	seen  uint64
-	since time.Time
+	// renewed is when the placer in office last made a read through this
+	// leader, or when the leader began: no lease can be younger.
+	renewed time.Time
+	// seen is when the last placer made a read, in office or not.
+	seen time.Time
+	// fence is that of the placer that renewed belongs to.
+	fence ident.Fence
 	// repeatAt is when the next proposal may be made.
 	repeatAt time.Time
 }
 
-// New returns an assigner; rivalFor is as in the settings.
-func New(rivalFor time.Duration) *Assigner { return &Assigner{rivalFor: rivalFor} }
+// New returns the assigner of a leader that begins now; rivalFor is as in the
+// settings. Reads through former leaders were asked for earlier.
+func New(now time.Time, rivalFor time.Duration) *Assigner {
+	return &Assigner{rivalFor: rivalFor, renewed: now}
+}
+
+// Read notes a read that the daemon of the record p made through this leader.
+func (a *Assigner) Read(now time.Time, p state.Placer) {
+	a.seen = now
+	if p.InOffice() {
+		a.renewed = now
+	}
+}
 
-// Step returns the command that is due, or nil.
-func (a *Assigner) Step(now time.Time, p state.Placer, cs []Candidate) state.Command {
+// Step returns the command that is due, or nil. If p is retired, retired is
+// when this daemon applied that: reads from then on tell the placer so, and no
+// lease is younger.
+func (a *Assigner) Step(now time.Time, p state.Placer, retired time.Time, cs []Candidate) state.Command {
 	if now.Before(a.repeatAt) {
 		return nil
 	}
-	c := a.due(now, p, cs)
+	c := a.due(now, p, retired, cs)
 	if c != nil {
 		a.repeatAt = now.Add(repeatAfter)
 	}
 	return c
 }
 
-func (a *Assigner) due(now time.Time, p state.Placer, cs []Candidate) state.Command {
+func (a *Assigner) due(now time.Time, p state.Placer, retired time.Time, cs []Candidate) state.Command {
 	i := slices.IndexFunc(cs, func(c Candidate) bool { return c.Name == p.Daemon })
 	serves := i >= 0 && cs[i].Reachable && !cs[i].Draining
 	if p.InOffice() {
-		if serves && cs[i].Incarnation == p.Incarnation {
+		if p.Fence != a.fence {
+			// A new placer has yet to make its first read.
+			a.fence, a.renewed = p.Fence, now
+		}
+		silent := now.Sub(a.renewed) > silentAfter
+		if serves && !silent && cs[i].Incarnation == p.Incarnation {
 			return nil
 		}
 		return state.RetirePlacer{Fence: p.Fence}
 	}
-	if p.Retired != a.seen {
-		a.seen, a.since = p.Retired, now
-	}
-	if serves && p.Retired != 0 {
+	back := i >= 0 && (cs[i].Incarnation != p.Incarnation || !a.seen.IsZero() && now.Sub(a.seen) < seenFor)
+	if serves && p.Retired != 0 && back {
 		return state.AppointPlacer{Daemon: p.Daemon, Incarnation: cs[i].Incarnation, After: p.Retired}
 	}
-	if p.Retired != 0 && now.Sub(a.since) < LeaseFor+a.rivalFor+margin {
+	if p.Retired != 0 && now.Sub(earlier(a.renewed, retired)) < LeaseFor+a.rivalFor+margin {
 		return nil
 	}
 	next, ok := choose(cs)
@@ -84,6 +110,13 @@
 	return state.AppointPlacer{Daemon: next.Name, Incarnation: next.Incarnation, After: p.Retired}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // choose prefers daemons without a disk: those with one have the log to keep.
 func choose(cs []Candidate) (Candidate, bool) {
 	var fit []Candidate
--- a/core/coordination/appoint/appoint_test.go
+++ b/core/coordination/appoint/appoint_test.go
@@ -31,27 +31,50 @@
 		"first placer needs no wait":          {state.Placer{}, []Candidate{up("b", 2)}, 0, state.AppointPlacer{Daemon: "b", Incarnation: 2}},
 		"one without a disk is preferred":     {state.Placer{}, []Candidate{disk, up("b", 2)}, 0, state.AppointPlacer{Daemon: "b", Incarnation: 2}},
 		"nobody is there":                     {state.Placer{}, nil, 0, nil},
-		"placer in office":                    {office, []Candidate{up("a", 1)}, time.Hour, nil},
+		"placer in office":                    {office, []Candidate{up("a", 1)}, time.Second, nil},
+		"placer makes no reads":               {office, []Candidate{up("a", 1), up("b", 1)}, silentAfter + 1, state.RetirePlacer{Fence: 5}},
 		"placer is gone":                      {office, []Candidate{up("b", 1)}, 0, state.RetirePlacer{Fence: 5}},
 		"placer drains":                       {office, []Candidate{{Name: "a", Incarnation: 1, Reachable: true, Draining: true}}, 0, state.RetirePlacer{Fence: 5}},
 		"placer has started anew":             {office, []Candidate{up("a", 2)}, 0, state.RetirePlacer{Fence: 5}},
-		"the same daemon needs no wait":       {retired, []Candidate{up("a", 2)}, 0, state.AppointPlacer{Daemon: "a", Incarnation: 2, After: 9}},
+		"the same daemon, started anew":       {retired, []Candidate{up("a", 2)}, 0, state.AppointPlacer{Daemon: "a", Incarnation: 2, After: 9}},
+		"the same run of it waits":            {retired, []Candidate{up("a", 1)}, LeaseFor, nil},
 		"another daemon waits":                {retired, []Candidate{up("b", 1)}, 0, nil},
 		"another daemon after the lease only": {retired, []Candidate{up("b", 1)}, LeaseFor + 100*time.Millisecond, nil},
 		"another daemon after the whole wait": {retired, []Candidate{up("b", 1)}, LeaseFor + rival + margin, state.AppointPlacer{Daemon: "b", Incarnation: 1, After: 9}},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			a := New(rival)
-			got := a.Step(start, tc.placer, tc.cs)
+			a := New(start, rival)
+			got := a.Step(start, tc.placer, start, tc.cs)
 			if tc.after > 0 && got == nil {
-				got = a.Step(start.Add(tc.after), tc.placer, tc.cs)
+				got = a.Step(start.Add(tc.after), tc.placer, start, tc.cs)
 			}
 			assert.Equal(t, got, tc.want)
 		})
 	}
 }
 
+// TestRetiredPlacerIsBack retires a placer that was silent: as soon as it makes
+// reads again it is appointed, without the wait that another would need.
+func TestRetiredPlacerIsBack(t *testing.T) {
+	a := New(start, rival)
+	retired := state.Placer{Daemon: "a", Incarnation: 1, Fence: 5, Retired: 9}
+	cs := []Candidate{up("a", 1), up("b", 1)}
+	now := start.Add(2 * time.Second)
+	assert.Assert(t, a.Step(now, retired, start, cs) == nil)
+	a.Read(now, retired)
+	assert.Equal(t, a.Step(now, retired, start, cs), state.AppointPlacer{Daemon: "a", Incarnation: 1, After: 9})
+}
+
+// TestNextLeaderKnowsOfTheRetirement begins to lead long after it applied the
+// retirement of a placer: it need not wait anew.
+func TestNextLeaderKnowsOfTheRetirement(t *testing.T) {
+	retired := state.Placer{Daemon: "a", Incarnation: 1, Fence: 5, Retired: 9}
+	now := start.Add(LeaseFor + rival + margin)
+	a := New(now, rival)
+	assert.Equal(t, a.Step(now, retired, start, []Candidate{up("b", 1)}), state.AppointPlacer{Daemon: "b", Incarnation: 1, After: 9})
+}
+
 func TestLease(t *testing.T) {
 	office := state.Placer{Daemon: "a", Incarnation: 1, Fence: 5}
 	now := time.Now()
@@ -90,6 +113,8 @@
 	ordered map[ident.Daemon]time.Time
 	fence   ident.Fence
 	leader  *Assigner
+	// retired is when the last retirement was applied.
+	retired time.Time
 }
 
 func (w *world) step(down map[ident.Daemon]bool) {
@@ -97,9 +122,12 @@
 	for _, name := range []ident.Daemon{"a", "b", "c"} {
 		cs = append(cs, Candidate{Name: name, Incarnation: 1, Reachable: !down[name]})
 	}
-	if cmd := w.leader.Step(w.now, w.state.View().Placer(), cs); cmd != nil {
+	if cmd := w.leader.Step(w.now, w.state.View().Placer(), w.retired, cs); cmd != nil {
 		w.index++
 		w.state.Apply(w.index, cmd)
+		if _, ok := cmd.(state.RetirePlacer); ok {
+			w.retired = w.now
+		}
 	}
 }
 
@@ -125,7 +153,7 @@
 func TestPlacersNeverMix(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{
-			t: t, now: start, state: state.New(), leader: New(rival),
+			t: t, now: start, state: state.New(), leader: New(start, rival),
 			views: make(map[ident.Daemon]state.Placer), leases: make(map[ident.Daemon]Lease),
 			ordered: make(map[ident.Daemon]time.Time),
 		}
@@ -144,10 +172,14 @@
 			case 0:
 				down[name] = !down[name]
 			case 1:
-				w.leader = New(rival)
+				w.leader = New(w.now, rival)
 			case 2, 3, 4:
 				// The read covers what is committed now, but comes later.
-				reads = append(reads, read{name, w.now, w.state.View().Placer()})
+				p := w.state.View().Placer()
+				reads = append(reads, read{name, w.now, p})
+				if p.Daemon == name {
+					w.leader.Read(w.now, p)
+				}
 			case 5, 6:
 				for _, r := range reads {
 					w.leases[r.name] = Grant(r.asked, r.state, r.name, 1)
--- a/core/coordination/appoint/doc.go
+++ b/core/coordination/appoint/doc.go
@@ -8,10 +8,15 @@
 // [LeaseFor] it has asked the leader for an index that covers all that was
 // committed, has applied the log up to it, and was still in office. Whoever
 // appoints the next placer first commits the retirement of the last one, and
-// then waits for LeaseFor and for the time that replicas may still take two
-// holders for rivals. So the orders of two placers never mix, whether or not
-// replicas check fencing numbers. A daemon that returns under its own name is
-// appointed anew without a wait, since it is the same holder.
+// then waits, counted from the last read that the placer can have made, for
+// LeaseFor and for the time that replicas may still take two holders for
+// rivals. Reads go through the leader, so the leader knows of the last one. For a
+// later leader none is younger than its own beginning, nor than when it applied
+// the retirement: a read from then on shows the placer that it is retired. A placer that makes no reads
+// is retired, too. So the orders of two placers never mix, whether or not
+// replicas check fencing numbers. A daemon that has started anew under
+// its own name, or shows by a read that it is in touch again, is appointed again
+// without a wait, since it is the same holder.
 //
 // # Clocks
 //
--- a/core/coordination/placement/message.go
+++ b/core/coordination/placement/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"papayaspoke/core/ident"
+	"papayaspoke/core/option"
 )
 
 // Weights names a base model, or an adapter of it.
@@ -52,6 +53,8 @@
 	// MadeAt is not later than when the listing was true.
 	MadeAt   time.Time
 	Holdings []Holding
+	// Sequence counts the orders that the replica has accepted, if it says so.
+	Sequence option.Option[uint64]
 }
 
 // Usage is what a daemon tells the placer.
@@ -112,6 +115,10 @@
 	Load bool
 	// Version is what to load, 0 for the newest.
 	Version uint64
+	// Sequence is how many orders the replica must have accepted before; it
+	// refuses the order otherwise. An order that is carried out late is refused
+	// once others have been accepted.
+	Sequence option.Option[uint64]
 }
 
 // Verdict is what became of an order.
--- a/core/coordination/placement/place.go
+++ b/core/coordination/placement/place.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"papayaspoke/core/ident"
+	"papayaspoke/core/option"
 )
 
 const (
@@ -182,8 +183,8 @@
 	return n
 }
 
-// option is a way to place an adapter.
-type option struct {
+// way is how an adapter could be placed.
+type way struct {
 	seat *seat
 	// victim makes way; its Adapter is empty if a place is free.
 	victim Weights
@@ -193,13 +194,13 @@
 // placeOne has an adapter loaded at the best replica. It reports whether one
 // was found.
 func (p *Placer) placeOne(now time.Time, w Weights, version uint64, service ident.Service) bool {
-	best := option{cost: math.Inf(1)}
+	best := way{cost: math.Inf(1)}
 	for _, name := range slices.Sorted(maps.Keys(p.seats)) {
 		s := p.seats[name]
 		if p.avoids(s) || !s.takes(now, w, service) {
 			continue
 		}
-		if o, ok := p.optionAt(now, s, w); ok && o.cost < best.cost {
+		if o, ok := p.wayAt(now, s, w); ok && o.cost < best.cost {
 			best = o
 		}
 	}
@@ -221,17 +222,17 @@
 
 // takes reports whether the replica may be ordered to load w now.
 func (s *seat) takes(now time.Time, w Weights, service ident.Service) bool {
-	if !s.known || s.Leaving || s.Service != service || now.Before(s.restUntil) || len(s.plan) > 2 {
+	if !s.known || s.stale || s.Leaving || s.Service != service || now.Before(s.restUntil) || len(s.plan) > 2 {
 		return false
 	}
 	m := s.slots[Weights{Model: w.Model}]
 	return m != nil && m.usable() && !m.readyAt.After(now) && s.slots[w] == nil && !s.plans(w) && s.coming(now) < maxComing
 }
 
-// optionAt returns how w could be placed at a replica, and what that costs in
+// wayAt returns how w could be placed at a replica, and what that costs in
 // seconds of waiting.
-func (p *Placer) optionAt(now time.Time, s *seat, w Weights) (option, bool) {
-	o := option{seat: s, cost: p.fetch.Seconds()}
+func (p *Placer) wayAt(now time.Time, s *seat, w Weights) (way, bool) {
+	o := way{seat: s, cost: p.fetch.Seconds()}
 	if _, ok := s.kept[w]; ok {
 		o.cost = diskTime.Seconds()
 	}
@@ -348,7 +349,7 @@
 			if !p.placed(w, version) && p.rates[w].now(now) > 0.5 && p.transit(now) < MaxTransit {
 				p.placeOne(now, w, version, s.Service)
 			}
-			if len(s.plan) > 0 {
+			if len(s.plan) > 0 || s.stale {
 				continue
 			}
 			sl.leaving, sl.changed = true, now
@@ -363,7 +364,7 @@
 func (p *Placer) placeModels(now time.Time) {
 	for _, name := range slices.Sorted(maps.Keys(p.seats)) {
 		s := p.seats[name]
-		if !s.known || s.Leaving || len(s.plan) > 0 || len(s.Models) == 0 || now.Before(s.restUntil) || s.hasModel() {
+		if !s.known || s.stale || s.Leaving || len(s.plan) > 0 || len(s.Models) == 0 || now.Before(s.restUntil) || s.hasModel() {
 			continue
 		}
 		if p.modelsComing(now) >= maxModels {
@@ -414,10 +415,11 @@
 func (p *Placer) send(now time.Time) {
 	for _, name := range slices.Sorted(maps.Keys(p.seats)) {
 		s := p.seats[name]
-		if len(s.plan) == 0 || s.ordered || now.Before(s.restUntil) {
+		if len(s.plan) == 0 || s.ordered || s.stale || now.Before(s.restUntil) {
 			continue
 		}
 		s.ordered = true
+		s.plan[0].Sequence = s.sequence
 		p.out.Orders = append(p.out.Orders, s.plan[0])
 	}
 }
@@ -429,6 +431,7 @@
 		return p.take()
 	}
 	s.ordered = false
+	s.accepted(now, o, v)
 	if s.tries++; v == Unanswered && s.tries < maxTries {
 		p.again(now, s, o)
 		return p.take()
@@ -443,6 +446,21 @@
 	return p.take()
 }
 
+// accepted keeps count of what the replica has accepted. What already held may
+// or may not count, so the replica is asked.
+func (s *seat) accepted(now time.Time, o Order, v Verdict) {
+	n, ok := s.sequence.Get()
+	switch {
+	case v == Begun || v == Done && !o.Load:
+		s.acceptedAt = now
+		if ok {
+			s.sequence = option.Some(n + 1)
+		}
+	case v == Done, v == Refused:
+		s.stale, s.wanting = true, true
+	}
+}
+
 // again gives an order once more that got no answer. If the first one is
 // carried out later, it finds what the second has done; until then the place
 // stays taken.
--- a/core/coordination/placement/placer.go
+++ b/core/coordination/placement/placer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"papayaspoke/core/ident"
+	"papayaspoke/core/option"
 )
 
 const (
@@ -79,6 +80,14 @@
 	// ordered is true.
 	plan    []Order
 	ordered bool
+	// stale is true from an order that the replica refused to the next
+	// listing, which then replaces what was believed: a refusal shows that
+	// something else has happened there.
+	stale bool
+	// sequence is how many orders the replica has accepted; acceptedAt is when
+	// it accepted the last.
+	sequence   option.Option[uint64]
+	acceptedAt time.Time
 	// tries counts how often the first order of the plan was given.
 	tries int
 	// avoided holds until when daemons keep away from the replica.
@@ -188,6 +197,7 @@
 		}
 		s.slots = make(map[Weights]*slot)
 		s.known, s.wanting, s.plan, s.ordered = false, true, nil, false
+		s.sequence = option.None[uint64]()
 		p.touch(s)
 	}
 	if s.Leaving != r.Leaving {
@@ -316,8 +326,12 @@
 	if s == nil || s.Incarnation != l.Incarnation {
 		return
 	}
-	changed := !s.known
-	s.known, s.wanting = true, false
+	if n, ok := l.Sequence.Get(); ok {
+		p.listedAt(now, s, n, l)
+		return
+	}
+	changed := !s.known || s.stale
+	s.known, s.wanting, s.stale = true, false, false
 	seen := make(map[Weights]bool, len(l.Holdings))
 	for _, h := range l.Holdings {
 		seen[h.Weights] = true
@@ -334,6 +348,62 @@
 	}
 }
 
+// listedAt takes in a listing that was true after n orders. It is exact if the
+// next order is accepted with that number, and older than what is known if n is
+// less than the orders that the replica has accepted from here.
+func (p *Placer) listedAt(now time.Time, s *seat, n uint64, l Listing) {
+	have, counted := s.sequence.Get()
+	switch {
+	case counted && s.stale && n == have, counted && !s.stale && n < have:
+		s.wanting = true
+		return
+	case counted && !s.stale && n == have && !s.wanting && !s.doubts():
+		return
+	}
+	slots := make(map[Weights]*slot, len(l.Holdings))
+	for _, h := range l.Holdings {
+		sl := &slot{version: h.Version, readyAt: h.ReadyAt, usedAt: now}
+		if old := s.slots[h.Weights]; old != nil {
+			sl.usedAt, sl.changed = old.usedAt, old.changed
+			// It goes once its requests have ended.
+			sl.leaving = old.leaving && n == have
+			if old.readyAt.After(now) && h.ReadyAt.IsZero() && n == have {
+				// The listing shows what is on its way as if it was there.
+				sl.readyAt = old.readyAt
+			}
+		}
+		slots[h.Weights] = sl
+	}
+	for w := range s.slots {
+		if slots[w] == nil && !w.IsModel() {
+			s.kept[w] = now
+		}
+	}
+	s.slots, s.sequence = slots, l.Sequence
+	s.known, s.wanting, s.stale = true, false, false
+	s.leave()
+	p.touch(s)
+}
+
+// doubts reports whether it is open what some orders have done.
+func (s *seat) doubts() bool {
+	for _, sl := range s.slots {
+		if !sl.usable() {
+			return true
+		}
+	}
+	return false
+}
+
+// leave marks again what the plan is to unload.
+func (s *seat) leave() {
+	for _, o := range s.plan {
+		if sl := s.slots[o.Weights]; !o.Load && sl != nil {
+			sl.leaving = true
+		}
+	}
+}
+
 // absentIn reports whether a listing without the slot proves that its place is
 // free. Loads can take longer than thought and listings can be older than
 // thought, so only one made a good while later does.
@@ -441,7 +511,8 @@
 	p.count(now)
 	p.copies(now)
 	p.place(now)
-	for _, s := range p.seats {
+	for _, name := range slices.Sorted(maps.Keys(p.seats)) {
+		s := p.seats[name]
 		if s.wanting && !now.Before(s.askAt) {
 			s.askAt = now.Add(askAgain)
 			p.out.Ask = append(p.out.Ask, s.Name)
--- a/core/coordination/placement/placer_test.go
+++ b/core/coordination/placement/placer_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"papayaspoke/core/ident"
+	"papayaspoke/core/option"
 	"pgregory.net/rapid"
 )
 
@@ -24,13 +26,16 @@
 	held map[Weights]time.Time // when each can be used
 	// history is what it held before, for listings that lag.
 	history []snapshot
+	// sequence counts the orders accepted.
+	sequence uint64
 	// most is the largest number of adapters that it ever had to hold.
 	most int
 }
 
 type snapshot struct {
-	at   time.Time
-	held []Weights
+	at       time.Time
+	held     []Weights
+	sequence uint64
 }
 
 func newEngine(name ident.Upstream, places int) *engine {
@@ -44,6 +49,10 @@
 }
 
 func (e *engine) carryOut(now time.Time, o Order) Verdict {
+	if n, ok := o.Sequence.Get(); ok && n != e.sequence {
+		return Refused
+	}
+	e.sequence++
 	v := Done
 	switch _, has := e.held[o.Weights]; {
 	case o.Load && !has:
@@ -59,7 +68,7 @@
 		}
 	}
 	e.most = max(e.most, n)
-	e.history = append(e.history, snapshot{now, e.weights()})
+	e.history = append(e.history, snapshot{now, e.weights(), e.sequence})
 	return v
 }
 
@@ -74,13 +83,16 @@
 // listing is what the engine held a while ago.
 func (e *engine) listing(now time.Time, age time.Duration) Listing {
 	at := now.Add(-age)
-	held := []Weights{{Model: model}}
+	held, sequence := []Weights{{Model: model}}, uint64(0)
 	for _, s := range e.history {
 		if !s.at.After(at) {
-			held = s.held
+			held, sequence = s.held, s.sequence
 		}
 	}
-	l := Listing{Replica: e.Name, Incarnation: e.Incarnation, MadeAt: now.Add(-800 * time.Millisecond)}
+	l := Listing{
+		Replica: e.Name, Incarnation: e.Incarnation, MadeAt: now.Add(-800 * time.Millisecond),
+		Sequence: option.Some(sequence),
+	}
 	for _, w := range held {
 		l.Holdings = append(l.Holdings, Holding{Weights: w, Version: 1})
 	}
@@ -117,13 +129,23 @@
 	return b
 }
 
+// succeed makes another placer, which knows nothing of the first one's orders.
+func (b *bench) succeed() {
+	b.p = New(b.p.Fence() + 1)
+	var rs []Replica
+	for _, name := range slices.Sorted(maps.Keys(b.engines)) {
+		rs = append(rs, b.engines[name].Replica)
+	}
+	b.carry(b.p.SetReplicas(b.now, rs))
+}
+
 func (b *bench) carry(e Effects) {
 	for _, o := range e.Orders {
 		b.orders++
 		engine := b.engines[o.Replica]
 		f := b.fate()
 		if b.log != nil {
-			b.log(fmt.Sprintf("%s %s load=%v %s fate %d held %d", b.now.Sub(start), o.Replica, o.Load, o.Weights.Adapter, f, len(engine.held)-1))
+			b.log(fmt.Sprintf("%s %s load=%v %s fate %d held %d sequence %d %v", b.now.Sub(start), o.Replica, o.Load, o.Weights.Adapter, f, len(engine.held)-1, engine.sequence, o.Sequence))
 		}
 		switch f {
 		case 1:
@@ -189,7 +211,7 @@
 
 // TestNeverMoreThanFits asks for rare adapters all at once, with orders whose
 // answers are lost, that are refused or carried out seconds later, and with
-// listings and announcements that lag. No replica is ever ordered to hold more
+// listings and announcements that lag, under placers that follow each other. No replica is ever ordered to hold more
 // than it has places for.
 func TestNeverMoreThanFits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -208,6 +230,9 @@
 			for range rapid.IntRange(0, 3).Draw(t, "wants") {
 				u.Demands = append(u.Demands, Demand{Service: "s", Weights: adapter(rapid.IntRange(0, 15).Draw(t, "adapter")), Waiting: 1})
 			}
+			if rapid.IntRange(0, 19).Draw(t, "another placer") == 0 {
+				b.succeed()
+			}
 			if rapid.Bool().Draw(t, "announces") {
 				e := b.engines["r1"]
 				u.Listings = append(u.Listings, e.listing(b.now, time.Duration(rapid.IntRange(0, 4000).Draw(t, "age"))*time.Millisecond))
@@ -345,7 +370,7 @@
 	b.want(adapter(1))
 	b.tick(time.Second)
 	e.Incarnation++
-	e.held, e.history = map[Weights]time.Time{}, []snapshot{{time.Time{}, nil}}
+	e.held, e.history, e.sequence = map[Weights]time.Time{}, []snapshot{{time.Time{}, nil, 0}}, 0
 	b.carry(b.p.SetReplicas(b.now, []Replica{e.Replica}))
 	b.tick(time.Second)
 	assert.Equal(t, len(e.held), 1)
--- a/io/daemon/placer.go
+++ b/io/daemon/placer.go
@@ -38,6 +38,10 @@
 	// renewAt is when the lease is renewed, renewing is true meanwhile.
 	renewAt  time.Time
 	renewing bool
+	// retired is the last retirement of a placer that was applied here, and
+	// retiredAt when.
+	retired   uint64
+	retiredAt time.Time
 	// named is since when versions of adapters are known here.
 	named map[placement.Weights]gateway.Named
 	// table is the routing table that the replicas were last matched with.
@@ -57,21 +61,25 @@
 	}
 	c.appoint(now)
 	c.hold(now)
-	if p := c.placing.placer; p != nil {
+	// Without the lease no order would go out, so none is planned.
+	if p := c.placing.placer; p != nil && c.placing.lease.Holds(now) {
 		c.carryOrders(p.Tick(now))
 	}
 }
 
 // appoint lets the leader look after the office of the placer.
 func (c *control) appoint(now time.Time) {
+	if r := c.view.Placer().Retired; r != 0 && r != c.placing.retired {
+		c.placing.retired, c.placing.retiredAt = r, now
+	}
 	if !c.leading() {
 		c.placing.assigner = nil
 		return
 	}
 	if c.placing.assigner == nil {
-		c.placing.assigner = appoint.New(c.platform.Settings().Rival())
+		c.placing.assigner = appoint.New(now, c.platform.Settings().Rival())
 	}
-	if cmd := c.placing.assigner.Step(now, c.view.Placer(), c.candidates()); cmd != nil {
+	if cmd := c.placing.assigner.Step(now, c.view.Placer(), c.placing.retiredAt, c.candidates()); cmd != nil {
 		c.log.Info("office of the placer", "command", describe(cmd))
 		c.orders.commit(cmd)
 	}
@@ -93,7 +101,9 @@
 		c.placing.placer.SetNamed(now, c.versions())
 		c.replicasChanged(now)
 	}
-	if mine && !c.placing.renewing && !now.Before(c.placing.renewAt) {
+	// A placer that was retired while out of touch shows that it is back.
+	last := o.Daemon == c.self && !c.draining
+	if last && !c.placing.renewing && !now.Before(c.placing.renewAt) {
 		c.renew(now)
 	}
 }
@@ -236,12 +246,12 @@
 	ctx, cancel := context.WithTimeout(p.d.ctx, orderTimeout)
 	defer cancel()
 	asked := p.d.clock()
-	hs, err := p.dialect.Listing(ctx, p.replicas, t)
+	l, err := p.dialect.Listing(ctx, p.replicas, t)
 	if err != nil {
 		p.d.log.V(1).Info("replica does not say what it holds", "replica", t.Replica, "error", err.Error())
 		return
 	}
-	l := placement.Listing{Replica: t.Replica, Incarnation: t.Incarnation, MadeAt: asked.Add(-listingAge), Holdings: hs}
+	l.MadeAt = asked.Add(-listingAge)
 	p.d.ctl.post(func(now time.Time) {
 		if x := p.d.ctl.placing.placer; x != nil {
 			p.d.ctl.carryOrders(x.Listed(now, l))
@@ -319,13 +329,16 @@
 }
 
 // indexRead serves a linearizable read, if this daemon leads.
-func (d *Daemon) indexRead(ctx context.Context) (uint64, bool) {
+func (d *Daemon) indexRead(ctx context.Context, from ident.Daemon) (uint64, bool) {
 	reply := make(chan consensus.ReadOutcome, 1)
 	d.ctl.post(func(now time.Time) {
 		if !d.ctl.leading() {
 			reply <- consensus.ReadOutcome{}
 			return
 		}
+		if a, p := d.ctl.placing.assigner, d.ctl.view.Placer(); a != nil && p.Daemon == from {
+			a.Read(now, p)
+		}
 		d.ctl.proposals.last++
 		d.ctl.reads[d.ctl.proposals.last] = reply
 		d.ctl.stepVoter(now, consensus.Read(d.ctl.proposals.last))
@@ -359,7 +372,7 @@
 func (d *Daemon) readThrough(ctx context.Context) (uint64, bool) {
 	v := d.view.Load()
 	if v.leader == d.self {
-		return d.indexRead(ctx)
+		return d.indexRead(ctx, d.self)
 	}
 	names := d.leaderCandidates()
 	if v.leader != "" {
@@ -371,7 +384,7 @@
 			continue
 		}
 		one, cancel := context.WithTimeout(ctx, readTimeout)
-		index, ok, err := d.peers.client.ReadIndex(one, addr)
+		index, ok, err := d.peers.client.ReadIndex(one, addr, d.self)
 		cancel()
 		if err == nil && ok {
 			d.ctl.post(func(time.Time) { d.ctl.leader = name })
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -38,7 +38,7 @@
 	// Order gives a replica an order.
 	Order func(ctx context.Context, c *client.Client, t Target, o placement.Order, holder ident.Daemon, fence ident.Fence) placement.Verdict
 	// Listing asks a replica what it holds.
-	Listing func(ctx context.Context, c *client.Client, t Target) ([]placement.Holding, error)
+	Listing func(ctx context.Context, c *client.Client, t Target) (placement.Listing, error)
 }
 
 // Platform is the part of a daemon that serves a platform's routes.
--- a/io/gateway/acquire.go
+++ b/io/gateway/acquire.go
@@ -22,6 +22,11 @@
 	// waitTargets is how many times the route's target a request waits at most:
 	// clients give up on an answer that has not begun.
 	waitTargets = 2
+	// placerSilent is how long the placer may be silent before requests for
+	// what is not loaded are refused at once; placerBack is when the next one
+	// is in office, counted from the last word of the former.
+	placerSilent = time.Second
+	placerBack   = 5 * time.Second
 	// nobodyMost is how long a request waits for a service without replicas.
 	nobodyMost = time.Second
 )
@@ -55,6 +60,10 @@
 // await waits until it is worth to look again.
 func (x *exchange) await(ctx context.Context, begun time.Time, miss balance.Miss, at time.Time, changed <-chan struct{}) error {
 	now := x.g.Clock()
+	if back, silent := x.g.unplaced(now); silent && miss == balance.Absent {
+		return result.New(result.NotResident, "%s/%s is not loaded, and no placer has answered since %s",
+			x.r.Weights.Model, x.r.Weights.Adapter, back.Add(-placerBack).Format(time.TimeOnly)).WithRetryAfter(later(back, now.Add(refusalPause)))
+	}
 	end := earlier(x.patience(), begun.Add(waitMost))
 	if miss == balance.Nobody {
 		end = earlier(end, begun.Add(nobodyMost))
@@ -80,6 +89,22 @@
 	return nil
 }
 
+// unplaced reports whether the placer has been silent for so long that nothing
+// will be loaded soon, and when that is likely to change.
+func (g *Gateway) unplaced(now time.Time) (time.Time, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	heard := g.balancer.HeardAt()
+	return heard.Add(placerBack), now.Sub(heard) > placerSilent
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // patience returns until when the request may wait before it is sent.
 func (x *exchange) patience() time.Time {
 	end := x.r.Arrival.Add(time.Duration(waitShare * float64(x.deadline.Sub(x.r.Arrival))))
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -455,6 +455,7 @@
 	x := newReplica(t, "x", fine)
 	s := newSetup(t, plenty, &routes.Engine{Batch: 4, Places: 4}, x)
 	w := placement.Weights{Model: "m", Adapter: "a1"}
+	s.SetAnswer(placement.Answer{Fence: 1})
 	answered := make(chan int, 1)
 	go func() {
 		resp, _, _ := s.ask(t, http.MethodGet, "/safe/x", "Test-Model", "m", "Test-Adapter", "a1")
@@ -478,6 +479,21 @@
 	assert.Equal(t, len(s.Usage().Demands), 0)
 }
 
+// TestNobodyPlaces asks for an adapter that is not loaded while no placer has
+// answered for a while: the request is refused at once, and told to come back
+// when there is likely to be one again.
+func TestNobodyPlaces(t *testing.T) {
+	x := newReplica(t, "x", fine)
+	s := newSetup(t, plenty, &routes.Engine{Batch: 4, Places: 4}, x)
+	begun := time.Now()
+	s.Clock = func() time.Time { return time.Now().Add(placerSilent) }
+	s.balancer.SetAnswer(begun, placement.Answer{Fence: 1})
+	resp, _, _ := s.ask(t, http.MethodGet, "/safe/x", "Test-Model", "m", "Test-Adapter", "a1")
+	assert.Equal(t, resp.Header.Get("Test-Code"), strconv.Itoa(int(result.NotResident)))
+	assert.Assert(t, time.Since(begun) < 500*time.Millisecond)
+	assert.Equal(t, x.asked(), 0)
+}
+
 // TestMissedAdapterIsTold lets a replica deny that it holds an adapter: the
 // placer is told which one.
 func TestMissedAdapterIsTold(t *testing.T) {
--- a/io/protocol/peer/client.go
+++ b/io/protocol/peer/client.go
@@ -104,8 +104,8 @@
 
 // ReadIndex asks the daemon at addr for an index that covers all that was
 // committed before the call; ok is false if it does not lead.
-func (c *Client) ReadIndex(ctx context.Context, addr string) (index uint64, ok bool, err error) {
-	resp, err := c.peer(addr).ReadIndex(ctx, connect.NewRequest(&peerpb.ReadIndexRequest{}))
+func (c *Client) ReadIndex(ctx context.Context, addr string, self ident.Daemon) (index uint64, ok bool, err error) {
+	resp, err := c.peer(addr).ReadIndex(ctx, connect.NewRequest(&peerpb.ReadIndexRequest{Daemon: string(self)}))
 	if err != nil {
 		return 0, false, err
 	}
--- a/io/protocol/peer/service.go
+++ b/io/protocol/peer/service.go
@@ -47,7 +47,7 @@
 	Permits func(ctx context.Context, a budget.Ask, released []budget.PermitID) Grant
 	// ReadIndex returns an index that covers all that was committed before the
 	// call; ok is false if this daemon does not lead.
-	ReadIndex func(ctx context.Context) (index uint64, ok bool)
+	ReadIndex func(ctx context.Context, from ident.Daemon) (index uint64, ok bool)
 	// Usage answers a daemon's word to the placer; ok is false if this daemon
 	// is not the placer.
 	// Book books the reading of a prompt and returns when to send it.
@@ -127,8 +127,8 @@
 	return connect.NewResponse(permitsResponseToWire(h.s.Permits(ctx, ask, released))), nil
 }
 
-func (h service) ReadIndex(ctx context.Context, _ *connect.Request[peerpb.ReadIndexRequest]) (*connect.Response[peerpb.ReadIndexResponse], error) {
-	index, ok := h.s.ReadIndex(ctx)
+func (h service) ReadIndex(ctx context.Context, r *connect.Request[peerpb.ReadIndexRequest]) (*connect.Response[peerpb.ReadIndexResponse], error) {
+	index, ok := h.s.ReadIndex(ctx, ident.Daemon(r.Msg.GetDaemon()))
 	return connect.NewResponse(&peerpb.ReadIndexResponse{Ok: ok, Index: index}), nil
 }
 
