--- a/cmd/papayaspoked/main.go
+++ b/cmd/papayaspoked/main.go
@@ -8,6 +8,7 @@
 	stdlog "log"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -60,6 +61,10 @@
 	return start(path, s)
 }
 
+// memoryShare is the part of the VM's memory at which garbage is collected more
+// often; the rest is for what the runtime does not count.
+const memoryShare = 0.6
+
 // logTimeout bounds how long a stopping daemon waits for the reader of its log.
 const logTimeout = 200 * time.Millisecond
 
@@ -76,6 +81,9 @@
 	log.Info("starting", "centre", s.DataCentre(), "folder", s.Data(), "platform", s.Platform().On())
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
+	if m := s.Platform().Memory(); m > 0 {
+		debug.SetMemoryLimit(int64(float64(m<<20) * memoryShare))
+	}
 	d, err := daemon.New(s, log, platform.Dialect())
 	if err != nil {
 		return fail(err)
--- a/core/routes/route.go
+++ b/core/routes/route.go
@@ -1,6 +1,7 @@
 package routes
 
 import (
+	"strings"
 	"time"
 
 	"papayaspoke/core/ident"
@@ -136,10 +137,11 @@
 	if err := t.check(r); err != nil {
 		return err
 	}
-	at := t.hosts[r.Host]
+	host := hostOf(r.Host)
+	at := t.hosts[host]
 	if at == nil {
 		at = make(map[string]*Route)
-		t.hosts[r.Host] = at
+		t.hosts[host] = at
 	}
 	if old := at[r.Prefix]; old != nil {
 		return result.New(result.ChangeInvalid, "routes %q and %q have the same host and prefix", old.Name, r.Name)
@@ -189,7 +191,7 @@
 // Lookup returns the route of the host with the longest prefix of the path,
 // or nil.
 func (t *Table) Lookup(host, path string) *Route {
-	at := t.hosts[host]
+	at := t.hosts[hostOf(host)]
 	if at == nil {
 		return nil
 	}
@@ -204,6 +206,14 @@
 	return nil
 }
 
+// hostOf returns a host without its port and in lower case.
+func hostOf(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
 // Pick returns the service for a request; draw is uniform in [0, 1).
 func (r *Route) Pick(draw float64) ident.Service {
 	sum := 0
--- a/core/routes/routes_test.go
+++ b/core/routes/routes_test.go
@@ -54,6 +54,7 @@
 		"host":             {"g", "/a/b/c", "other"},
 		"no route":         {"g", "/b/", ""},
 		"no host":          {"x", "/a/", ""},
+		"port and case":    {"G:8080", "/a/x", "other"},
 		"empty path":       {"h", "", ""},
 	}
 	for name, tc := range cases {
