--- a/io/protocol/peer/state_test.go
+++ b/io/protocol/peer/state_test.go
@@ -56,6 +56,16 @@
 }
 
 var commands = []func(*rapid.T) state.Command{
+	func(t *rapid.T) state.Command {
+		return state.PutRouting{Version: number(t), Document: []byte(word(t))}
+	},
+	func(t *rapid.T) state.Command {
+		return state.NameVersion{Model: ident.Model(word(t)), Adapter: word(t), Version: number(t)}
+	},
+	func(t *rapid.T) state.Command {
+		return state.AppointPlacer{Daemon: ident.Daemon(word(t)), Incarnation: ident.Incarnation(number(t)), After: number(t)}
+	},
+	func(t *rapid.T) state.Command { return state.RetirePlacer{Fence: ident.Fence(number(t))} },
 	func(t *rapid.T) state.Command {
 		return state.Change{
 			ID: ident.Change(word(t) + word(t)), Author: word(t), At: moment(t), Expected: number(t),
