--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -216,14 +216,17 @@
 	return v.Int64()
 }
 
-// synced is called by the disk's writer. A disk that fails ends the daemon,
-// since nobody can tell what it holds.
+// synced is called by the disk's writer. While the disk refuses writes the
+// voter promises nothing, and the others go on without it.
 func (d *Daemon) synced(number uint64, err error) {
 	if err != nil {
-		d.log.Error(err, "data folder failed, the daemon ends")
-		d.halt()
+		d.diskFailed.Store(true)
+		d.log.Error(err, "disk lost: it refuses writes", "folder", d.settings.Data())
 		return
 	}
+	if d.diskFailed.CompareAndSwap(true, false) {
+		d.log.Info("disk regained", "folder", d.settings.Data())
+	}
 	d.ctl.post(func(now time.Time) { d.ctl.stepVoter(now, consensus.Synced(number)) })
 }
 
