A founded cluster promises nothing before its disks have joined; large files split

Cause: TestProcesses failed once: the first change was acknowledged by the founder alone or with one other, and when the founder was killed the second had no majority (three daemons, kill 2.5 s after the start). A lost disk in those seconds would have lost an acknowledged change. Change: the founder waits up to 3 s for the other seeds; the leader of an open cluster commits no document and no version while fewer than three disks vote and others could join. Also: placement and daemon files split by job, dead fields removed, the dump shows routing and placement.

--- a/core/coordination/balance/balance.go
+++ b/core/coordination/balance/balance.go
@@ -423,17 +423,3 @@
 	slices.SortFunc(out, cmp.Compare)
 	return out
 }
-
-// Free reports whether fewer than half of the places of a service are taken,
-// as far as is known.
-func (b *Balancer) Free(s ident.Service) (taken, places int) {
-	for _, name := range b.services[s] {
-		p := b.peers[name]
-		if p.Leaving {
-			continue
-		}
-		taken += p.own + p.others
-		places += p.Slots
-	}
-	return taken, places
-}
--- a/core/coordination/placement/place.go
+++ b/core/coordination/placement/place.go
@@ -8,47 +8,16 @@
 	"time"
 
 	"papayaspoke/core/ident"
-	"papayaspoke/core/option"
 )
 
 const (
-	// rateHalf is the time in which a rate of use falls by half.
-	rateHalf = 5 * time.Second
-	// copyInterval separates looks for adapters that want another copy.
-	copyInterval = 200 * time.Millisecond
-	// minCopyLoad is how many requests in flight a copy carries before
-	// another is made, even if replicas are nearly idle.
-	minCopyLoad = 8
 	// idleBeforeDrop is how long an adapter is unused before it makes way.
 	idleBeforeDrop = 400 * time.Millisecond
+	// spreadCost is what the last rank of a replica weighs against the first,
+	// in seconds: less than a load from the store, more than one from the disk.
+	spreadCost = 0.1
 )
 
-// rate is a decaying count of uses.
-type rate struct {
-	value float64
-	at    time.Time
-}
-
-func (r *rate) now(now time.Time) float64 {
-	if r == nil {
-		return 0
-	}
-	return r.value * math.Exp2(-float64(now.Sub(r.at))/float64(rateHalf))
-}
-
-func (r *rate) add(now time.Time, n int) {
-	r.value, r.at = r.now(now)+float64(n), now
-}
-
-func (p *Placer) rate(w Weights) *rate {
-	r := p.rates[w]
-	if r == nil {
-		r = &rate{}
-		p.rates[w] = r
-	}
-	return r
-}
-
 // place gives what orders it can for what is wanted.
 func (p *Placer) place(now time.Time) {
 	p.expire(now)
@@ -236,7 +205,7 @@
 	if _, ok := s.kept[w]; ok {
 		o.cost = diskTime.Seconds()
 	}
-	o.cost += 0.1 * spread(s.Name, w)
+	o.cost += spreadCost * spread(s.Name, w)
 	if s.Batch > 0 {
 		load := float64(s.running) / float64(s.Batch)
 		o.cost += load * load
@@ -285,58 +254,6 @@
 	return max(n, 1)
 }
 
-// copies makes another copy of what fills more than its share.
-func (p *Placer) copies(now time.Time) {
-	if now.Before(p.copyAt) {
-		return
-	}
-	p.copyAt = now.Add(copyInterval)
-	total, seats := 0, 0
-	for _, s := range p.seats {
-		if s.known && !s.Leaving {
-			total += s.running
-			seats++
-		}
-	}
-	if seats == 0 {
-		return
-	}
-	share := max(minCopyLoad, 0.7*float64(total)/float64(seats))
-	running := make(map[Weights]int)
-	for _, u := range p.daemons {
-		for _, r := range u.runs {
-			running[r.Weights] += r.Running
-		}
-	}
-	for _, w := range slices.SortedFunc(maps.Keys(running), func(a, b Weights) int {
-		return cmp.Or(cmp.Compare(running[b], running[a]), cmp.Compare(a.Adapter, b.Adapter))
-	}) {
-		if float64(running[w]) <= share {
-			return
-		}
-		p.copy(now, w, int(math.Ceil(float64(running[w])/share)))
-	}
-}
-
-func (p *Placer) copy(now time.Time, w Weights, wanted int) {
-	if w.IsModel() {
-		return
-	}
-	var service ident.Service
-	have := 0
-	for _, s := range p.seats {
-		if sl := s.slots[w]; sl != nil && sl.usable() && !s.Leaving || s.plans(w) {
-			have++
-			service = s.Service
-		}
-	}
-	for ; have > 0 && have < wanted && p.transit(now) < MaxTransit; have++ {
-		if !p.placeOne(now, w, p.named[w], service) {
-			return
-		}
-	}
-}
-
 // replaceStale has what is held at an older version than named fetched anew,
 // and drops the older one.
 func (p *Placer) replaceStale(now time.Time) {
@@ -358,189 +275,3 @@
 		}
 	}
 }
-
-// placeModels gives replicas that hold no base model one: that of which most
-// requests wait or which fewest replicas hold.
-func (p *Placer) placeModels(now time.Time) {
-	for _, name := range slices.Sorted(maps.Keys(p.seats)) {
-		s := p.seats[name]
-		if !s.known || s.stale || s.Leaving || len(s.plan) > 0 || len(s.Models) == 0 || now.Before(s.restUntil) || s.hasModel() {
-			continue
-		}
-		if p.modelsComing(now) >= maxModels {
-			return
-		}
-		best := slices.MinFunc(s.Models, func(a, b ident.Model) int {
-			return cmp.Compare(p.modelHolders(s.Service, a), p.modelHolders(s.Service, b))
-		})
-		s.plan = append(s.plan, Order{Replica: s.Name, Incarnation: s.Incarnation, Weights: Weights{Model: best}, Load: true})
-	}
-}
-
-func (s *seat) hasModel() bool {
-	for w := range s.slots {
-		if w.IsModel() {
-			return true
-		}
-	}
-	return false
-}
-
-func (p *Placer) modelsComing(now time.Time) int {
-	n := 0
-	for _, s := range p.seats {
-		for w, sl := range s.slots {
-			if w.IsModel() && sl.readyAt.After(now) {
-				n++
-			}
-		}
-		if len(s.plan) > 0 && s.plan[0].Load && s.plan[0].Weights.IsModel() {
-			n++
-		}
-	}
-	return n
-}
-
-func (p *Placer) modelHolders(service ident.Service, m ident.Model) int {
-	n := 0
-	for _, s := range p.seats {
-		if s.Service == service && s.slots[Weights{Model: m}] != nil {
-			n++
-		}
-	}
-	return n
-}
-
-// send gives each replica its next order.
-func (p *Placer) send(now time.Time) {
-	for _, name := range slices.Sorted(maps.Keys(p.seats)) {
-		s := p.seats[name]
-		if len(s.plan) == 0 || s.ordered || s.stale || now.Before(s.restUntil) {
-			continue
-		}
-		s.ordered = true
-		s.plan[0].Sequence = s.sequence
-		p.out.Orders = append(p.out.Orders, s.plan[0])
-	}
-}
-
-// Ordered tells what became of an order.
-func (p *Placer) Ordered(now time.Time, o Order, v Verdict) Effects {
-	s := p.seats[o.Replica]
-	if s == nil || s.Incarnation != o.Incarnation || !s.ordered || len(s.plan) == 0 || s.plan[0] != o {
-		return p.take()
-	}
-	s.ordered = false
-	s.accepted(now, o, v)
-	if s.tries++; v == Unanswered && s.tries < maxTries {
-		p.again(now, s, o)
-		return p.take()
-	}
-	s.plan, s.tries = s.plan[1:], 0
-	if o.Load {
-		p.loaded(now, s, o, v)
-	} else {
-		p.unloaded(now, s, o, v)
-	}
-	p.place(now)
-	return p.take()
-}
-
-// accepted keeps count of what the replica has accepted. What already held may
-// or may not count, so the replica is asked.
-func (s *seat) accepted(now time.Time, o Order, v Verdict) {
-	n, ok := s.sequence.Get()
-	switch {
-	case v == Begun || v == Done && !o.Load:
-		s.acceptedAt = now
-		if ok {
-			s.sequence = option.Some(n + 1)
-		}
-	case v == Done, v == Refused:
-		s.stale, s.wanting = true, true
-	}
-}
-
-// again gives an order once more that got no answer. If the first one is
-// carried out later, it finds what the second has done; until then the place
-// stays taken.
-func (p *Placer) again(now time.Time, s *seat, o Order) {
-	if o.Load && s.slots[o.Weights] == nil {
-		s.slots[o.Weights] = &slot{version: o.Version, usedAt: now, changed: now, readyAt: now, doubtUntil: now.Add(lostAfter)}
-	}
-	if sl := s.slots[o.Weights]; sl != nil && o.Load {
-		sl.reservedUntil = now.Add(lostAfter)
-	}
-	p.send(now)
-}
-
-func (p *Placer) loaded(now time.Time, s *seat, o Order, v Verdict) {
-	sl := &slot{version: o.Version, usedAt: now, changed: now, readyAt: now}
-	if old := s.slots[o.Weights]; old != nil {
-		sl.reservedUntil = old.reservedUntil
-	}
-	switch v {
-	case Begun:
-		sl.readyAt = now.Add(p.duration(now, s, o.Weights) + settle)
-	case Done:
-	case Unanswered:
-		sl.doubtUntil = now.Add(lostAfter)
-		s.abandonPlan()
-		s.wanting = true
-	default:
-		s.abandonPlan()
-		s.wanting = true
-		s.restUntil = now.Add(busyRetry)
-		return
-	}
-	if v == Unanswered {
-		sl.reservedUntil = now.Add(lostAfter)
-	}
-	s.slots[o.Weights] = sl
-	p.touch(s)
-}
-
-// duration is how long a load that begins now takes.
-func (p *Placer) duration(now time.Time, s *seat, w Weights) time.Duration {
-	if w.IsModel() {
-		return s.LoadTime
-	}
-	if _, ok := s.kept[w]; ok {
-		return diskTime
-	}
-	crowd := max(1, float64(p.transit(now))/MaxTransit)
-	return time.Duration(float64(p.fetch) * crowd)
-}
-
-func (p *Placer) unloaded(now time.Time, s *seat, o Order, v Verdict) {
-	sl := s.slots[o.Weights]
-	if sl == nil {
-		return
-	}
-	switch v {
-	case Done:
-		s.drop(now, o.Weights)
-	case Begun, Unanswered:
-		// It goes once its requests have ended; a listing will tell.
-		sl.changed = now
-		s.abandonPlan()
-		s.wanting = true
-		s.askAt = now.Add(askAgain)
-	default:
-		sl.leaving = false
-		s.abandonPlan()
-		s.wanting = true
-		s.restUntil = now.Add(busyRetry)
-	}
-	p.touch(s)
-}
-
-// abandonPlan gives up the orders that were not given yet.
-func (s *seat) abandonPlan() {
-	for _, o := range s.plan {
-		if sl := s.slots[o.Weights]; !o.Load && sl != nil {
-			sl.leaving = false
-		}
-	}
-	s.plan = nil
-}
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -97,6 +97,7 @@
 	// open is true if every daemon with a disk is a voter; founder if such a
 	// cluster starts for the first time, through the seeds in their order.
 	open, founder bool
+	startedAt     time.Time
 	seeds         []string
 	// disks and founding are what the voter was last told.
 	disks    []ident.Daemon
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -147,6 +147,7 @@
 		orders:        newOrders(d),
 		platform:      d.platform,
 		open:          d.settings.Open(),
+		startedAt:     now,
 		founder:       d.settings.Founder(),
 		reads:         make(map[uint64]chan<- consensus.ReadOutcome),
 	}
--- a/io/daemon/dump.go
+++ b/io/daemon/dump.go
@@ -34,6 +34,45 @@
 	Heap        uint64              `json:"heap"`
 	Replicas    []replicaDump       `json:"replicas"`
 	Lists       map[string][]string `json:"lists"`
+	Platform    *platformDump       `json:"platform,omitempty"`
+}
+
+// platformDump is what a daemon that serves a platform knows of it.
+type platformDump struct {
+	Routing  uint64         `json:"routing"`
+	Routes   int            `json:"routes"`
+	Placer   string         `json:"placer"`
+	Fence    uint64         `json:"fence"`
+	Heard    string         `json:"heard"`
+	Waiting  int            `json:"waiting"`
+	Ejected  []string       `json:"ejected"`
+	Retries  map[string]int `json:"retries"`
+	Disk     string         `json:"disk"`
+	Stopping bool           `json:"stopping"`
+}
+
+func (p *Platform) dump(now time.Time) *platformDump {
+	g, office := p.gateway.State(), p.d.view.Load().state.Placer()
+	out := &platformDump{
+		Routing: g.Routing, Routes: g.Routes, Fence: uint64(office.Fence), Waiting: g.Waiting,
+		Retries: make(map[string]int), Disk: "works", Stopping: p.stopped.Load(),
+	}
+	if office.InOffice() {
+		out.Placer = string(office.Daemon)
+	}
+	if !g.HeardAt.IsZero() {
+		out.Heard = now.Sub(g.HeardAt).Round(time.Millisecond).String()
+	}
+	for _, name := range g.Ejected {
+		out.Ejected = append(out.Ejected, string(name))
+	}
+	for name, n := range g.Retries {
+		out.Retries[string(name)] = n
+	}
+	if p.d.diskFailed.Load() {
+		out.Disk = "refuses writes"
+	}
+	return out
 }
 
 type replicaDump struct {
@@ -55,6 +94,9 @@
 		Goroutines: runtime.NumGoroutine(), Heap: mem.HeapAlloc, Calls: d.callers.InFlight(),
 		Lists: make(map[string][]string),
 	}
+	if d.platform != nil {
+		out.Platform = d.platform.dump(d.clock())
+	}
 	for _, n := range sortedKeys(v.daemons) {
 		out.Lists["daemons"] = append(out.Lists["daemons"], string(n))
 	}
--- a/io/daemon/placer.go
+++ b/io/daemon/placer.go
@@ -6,11 +6,9 @@
 
 	"papayaspoke/core/coordination/appoint"
 	"papayaspoke/core/coordination/balance"
-	"papayaspoke/core/coordination/consensus"
 	"papayaspoke/core/coordination/membership"
 	"papayaspoke/core/coordination/placement"
 	"papayaspoke/core/ident"
-	"papayaspoke/core/result"
 	"papayaspoke/core/routes"
 	"papayaspoke/io/gateway"
 )
@@ -197,7 +195,7 @@
 	for _, o := range e.Orders {
 		t, ok := c.target(o.Replica)
 		if !ok || t.Incarnation != o.Incarnation {
-			c.post2(func(now time.Time) { c.ordered(now, o, placement.Withheld) })
+			c.postLater(func(now time.Time) { c.ordered(now, o, placement.Withheld) })
 			continue
 		}
 		go c.platform.order(t, o, c.placing.placer.Fence())
@@ -209,8 +207,9 @@
 	}
 }
 
-// post2 hands f to the loop without blocking it.
-func (c *control) post2(f func(now time.Time)) { go c.post(f) }
+// postLater hands f to the loop from the loop itself, which must not wait for
+// room in its own inbox.
+func (c *control) postLater(f func(now time.Time)) { go c.post(f) }
 
 func (c *control) target(name ident.Upstream) (Target, bool) {
 	u, ok := c.members.Upstream(name)
@@ -258,153 +257,3 @@
 		}
 	})
 }
-
-// usageTold serves the word of a daemon to the placer.
-func (d *Daemon) usageTold(ctx context.Context, u placement.Usage) (placement.Answer, bool) {
-	var a placement.Answer
-	var ok bool
-	err := d.ctl.call(ctx, func(now time.Time) {
-		p := d.ctl.placing.placer
-		if p == nil {
-			return
-		}
-		ok = true
-		var e placement.Effects
-		a, e = p.Use(now, u)
-		d.ctl.carryOrders(e)
-	})
-	return a, ok && err == nil
-}
-
-// talk tells the placer what happens here, for as long as the daemon lives.
-func (p *Platform) talk() {
-	timer := time.NewTimer(usageInterval)
-	defer timer.Stop()
-	for {
-		select {
-		case <-p.d.ctx.Done():
-			return
-		case <-timer.C:
-		case <-p.gateway.Wanted():
-		}
-		p.tellPlacer()
-		if !pause(p.d.ctx, usagePause) {
-			return
-		}
-		timer.Reset(usageInterval)
-	}
-}
-
-func (p *Platform) tellPlacer() {
-	office := p.d.view.Load().state.Placer()
-	if !office.InOffice() {
-		return
-	}
-	u := p.gateway.Usage()
-	u.Daemon = p.d.self
-	ctx, cancel := context.WithTimeout(p.d.ctx, usageTimeout)
-	defer cancel()
-	if err := p.d.ctl.call(ctx, func(time.Time) { u.Listings, p.d.ctl.listings = p.d.ctl.listings, nil }); err != nil {
-		return
-	}
-	a, ok := p.d.askPlacer(ctx, office.Daemon, u)
-	if ok {
-		p.gateway.SetAnswer(a)
-	}
-}
-
-func (d *Daemon) askPlacer(ctx context.Context, name ident.Daemon, u placement.Usage) (placement.Answer, bool) {
-	if name == d.self {
-		return d.usageTold(ctx, u)
-	}
-	addr, ok := d.peerAddress(name)
-	if !ok {
-		return placement.Answer{}, false
-	}
-	a, ok, err := d.peers.client.Usage(ctx, addr, u)
-	if err != nil {
-		d.log.V(1).Info("the placer does not answer", "placer", name, "error", err.Error())
-	}
-	return a, ok && err == nil
-}
-
-// indexRead serves a linearizable read, if this daemon leads.
-func (d *Daemon) indexRead(ctx context.Context, from ident.Daemon) (uint64, bool) {
-	reply := make(chan consensus.ReadOutcome, 1)
-	d.ctl.post(func(now time.Time) {
-		if !d.ctl.leading() {
-			reply <- consensus.ReadOutcome{}
-			return
-		}
-		if a, p := d.ctl.placing.assigner, d.ctl.view.Placer(); a != nil && p.Daemon == from {
-			a.Read(now, p)
-		}
-		d.ctl.proposals.last++
-		d.ctl.reads[d.ctl.proposals.last] = reply
-		d.ctl.stepVoter(now, consensus.Read(d.ctl.proposals.last))
-	})
-	select {
-	case r := <-reply:
-		return r.Index, r.OK
-	case <-ctx.Done():
-		return 0, false
-	}
-}
-
-// catchUp makes a linearizable read through the leader and waits until this
-// daemon has applied what it covers.
-func (d *Daemon) catchUp(ctx context.Context) (uint64, error) {
-	index, ok := d.readThrough(ctx)
-	if !ok {
-		return 0, result.New(result.NotFresh, "no leader has confirmed a read").WithRetryAfter(d.clock().Add(time.Second))
-	}
-	for d.view.Load().state.Index() < index {
-		if !pause(ctx, catchUpPoll) {
-			return 0, result.New(result.NotFresh, "index %d is not applied yet", index).WithRetryAfter(d.clock().Add(time.Second))
-		}
-	}
-	return index, nil
-}
-
-// catchUpPoll is how often a reader looks whether the log was applied.
-const catchUpPoll = 10 * time.Millisecond
-
-func (d *Daemon) readThrough(ctx context.Context) (uint64, bool) {
-	v := d.view.Load()
-	if v.leader == d.self {
-		return d.indexRead(ctx, d.self)
-	}
-	names := d.leaderCandidates()
-	if v.leader != "" {
-		names = append([]ident.Daemon{v.leader}, names...)
-	}
-	for _, name := range names {
-		addr, ok := d.peerAddress(name)
-		if !ok || name == d.self || v.daemons[name].suspected {
-			continue
-		}
-		one, cancel := context.WithTimeout(ctx, readTimeout)
-		index, ok, err := d.peers.client.ReadIndex(one, addr, d.self)
-		cancel()
-		if err == nil && ok {
-			d.ctl.post(func(time.Time) { d.ctl.leader = name })
-			return index, true
-		}
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	return 0, false
-}
-
-// readTimeout bounds a read through one daemon.
-const readTimeout = 250 * time.Millisecond
-
-func (d *Daemon) catchUpThen(f func(ok bool)) {
-	go func() {
-		ctx, cancel := context.WithTimeout(d.ctx, exchangeTimeout)
-		defer cancel()
-		_, err := d.catchUp(ctx)
-		d.ctl.post(func(time.Time) { f(err == nil) })
-	}()
-}
--- a/io/daemon/voter.go
+++ b/io/daemon/voter.go
@@ -91,7 +91,7 @@
 // propose commits a command if this daemon leads.
 func (c *control) propose(now time.Time, cmd state.Command, data []byte) <-chan answer {
 	reply := make(chan answer, 1)
-	if c.voter == nil {
+	if c.voter == nil || !c.promises(cmd) {
 		reply <- answer{code: result.NoLeader, leader: c.leader}
 		return reply
 	}
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -215,7 +215,7 @@
 	}
 	x.runs++
 	var v verdict
-	v, outcome, err = x.deliver(ctx, a, h)
+	v, outcome, err = x.deliver(ctx, a)
 	return v, err
 }
 
@@ -318,7 +318,7 @@
 }
 
 // deliver passes an answer on.
-func (x *exchange) deliver(ctx context.Context, a *client.Answer, h Head) (verdict, balance.Outcome, error) {
+func (x *exchange) deliver(ctx context.Context, a *client.Answer) (verdict, balance.Outcome, error) {
 	if x.route.Kind == routes.Stream && isEvents(a.Header()) && a.Status() == http.StatusOK {
 		return x.relay(ctx, a)
 	}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -64,8 +64,6 @@
 	// Absent is true if it does not hold what was asked for, or is another
 	// replica than the one meant.
 	Absent bool
-	// Made is true if the answer is the work of a run.
-	Made bool
 }
 
 // Dialect maps to and from the headers that replicas speak.
