Open clusters: an odd number of voters; voters that stop hand their seat over

A voter was replaced by an empty disk at 5.6 s; the leader promoted it before the dead voter counted as gone, so four seats had one dead holder for 8 s. At 12.8 s another disk was wiped: two of four, no majority for good. Ruled out: a lost entry (both living disks had it), the founder (no second cluster was formed). Change: an open cluster keeps an odd number of voters among the members that have answered this leader lately; the others stand by as learners. A silent voter loses its seat to one of them, one that announces its stop hands its seat over while it still works, learners that are gone make room.

--- a/core/coordination/consensus/event.go
+++ b/core/coordination/consensus/event.go
@@ -31,8 +31,9 @@
 	// hard and snapshot are what to recover to.
 	hard     Hard
 	snapshot Snapshot
-	// names and founder are those of Candidates.
+	// names, leaving and founder are those of Candidates.
 	names   []ident.Daemon
+	leaving []ident.Daemon
 	founder bool
 }
 
@@ -73,11 +74,11 @@
 func Transfer() Event { return Event{kind: eventTransfer} }
 
 // Candidates names the daemons that have a disk, in the place of a list in the
-// settings. A founder may form a cluster alone; at most one daemon is ever
+// settings, and those of them that are about to stop. A founder may form a cluster alone; at most one daemon is ever
 // told so, and none that has lost its disk. It has no effect at a node that is
 // not open.
-func Candidates(names []ident.Daemon, founder bool) Event {
-	return Event{kind: eventCandidates, names: names, founder: founder}
+func Candidates(names, leaving []ident.Daemon, founder bool) Event {
+	return Event{kind: eventCandidates, names: names, leaving: leaving, founder: founder}
 }
 
 // Recover asks to start a new cluster of this node alone, see
--- a/core/coordination/consensus/join.go
+++ b/core/coordination/consensus/join.go
@@ -209,47 +209,83 @@
 		return
 	}
 	n.listed = slices.Sorted(slices.Values(ev.names))
+	n.leaving = ev.leaving
 	n.founder = ev.founder
 }
 
-// vacate removes a voter of an open cluster that has been silent for long. It
+// Seats returns how many of the daemons with a disk vote in an open cluster: an
+// odd number, as an even one bears no more losses and has no majority in either
+// half of a cut. The others stand by with all that is committed.
+func Seats(disks int) int {
+	if disks < minSeats {
+		return disks
+	}
+	return min(disks-1+disks%2, maxOpen)
+}
+
+// vacate removes a member of an open cluster that has been silent for long. It
 // may return as a learner, with all that it has synced.
 func (n *Node) vacate(now time.Time) (Change, bool) {
-	if !n.open || len(n.members().voters) <= minSeats {
+	if !n.open {
 		return Change{}, false
 	}
-	for _, v := range n.members().voters {
-		if p := n.progress[v]; p != nil && !now.Before(p.goneAt.Add(vacateAfter)) {
-			return Change{Remove, v}, true
-		}
+	absent := func(v Voter) bool {
+		p := n.progress[v]
+		return p != nil && !now.Before(p.goneAt.Add(vacateAfter))
+	}
+	if i := slices.IndexFunc(n.members().learners, absent); i >= 0 {
+		return Change{Remove, n.members().learners[i]}, true
+	}
+	if i := slices.IndexFunc(n.members().voters, absent); i >= 0 && len(n.members().voters) > minSeats {
+		return Change{Remove, n.members().voters[i]}, true
 	}
 	return Change{}, false
 }
 
-// silent returns a voter of an open cluster whose seat a learner may take.
-func (n *Node) silent(now time.Time) (Voter, bool) {
+// departing returns a voter of an open cluster whose seat a learner may take:
+// one that is silent, or is about to stop. While it still works it keeps its
+// seat unless all voters are there.
+func (n *Node) departing(now time.Time) (Voter, bool) {
 	i := slices.IndexFunc(n.members().voters, func(v Voter) bool { return v != n.self && n.gone(now, v) })
+	if i < 0 && n.allAlive(now) {
+		i = slices.IndexFunc(n.members().voters, func(v Voter) bool { return v != n.self && slices.Contains(n.leaving, v.Daemon) })
+	}
 	if !n.open || i < 0 || len(n.members().voters) < minSeats {
 		return Voter{}, false
 	}
 	return n.members().voters[i], true
 }
 
+func (n *Node) allAlive(now time.Time) bool {
+	return !slices.ContainsFunc(n.members().voters, func(v Voter) bool { return v != n.self && !n.alive(now, v) })
+}
+
 // seat returns the next step to make a learner of a listed daemon a voter, if
 // it has caught up with its data synced.
 func (n *Node) seat(now time.Time, l Voter) (Change, bool) {
 	ready := n.alive(now, l) && n.progress[l].match >= n.commit
-	if !ready || !n.open && !slices.Contains(n.listed, l.Daemon) {
+	if !ready || !n.open && !slices.Contains(n.listed, l.Daemon) || slices.Contains(n.leaving, l.Daemon) {
 		return Change{}, false
 	}
-	old, ok := namesake(n.members().voters, l)
-	if !ok {
-		old, ok = n.silent(now)
+	if old, ok := namesake(n.members().voters, l); ok {
+		return Change{Remove, old}, n.gone(now, old)
 	}
-	if !ok {
-		return Change{Promote, l}, !n.open || len(n.members().voters) < maxOpen
+	if old, ok := n.departing(now); ok {
+		return Change{Remove, old}, true
+	}
+	return Change{Promote, l}, !n.open || len(n.members().voters) < Seats(n.present(now))
+}
+
+// present counts the members that are there. Dead ones must not count: they
+// would make room for a voter that is one too many.
+func (n *Node) present(now time.Time) int {
+	count := 1
+	for _, v := range n.others() {
+		if now.Before(n.progress[v].presentUntil) {
+			count++
+		}
 	}
-	return Change{Remove, old}, n.gone(now, old)
+	return count
 }
 
 // welcome returns the next step to make a joiner a learner.
--- a/core/coordination/consensus/node.go
+++ b/core/coordination/consensus/node.go
@@ -48,6 +48,8 @@
 	// listed is sorted.
 	listed []ident.Daemon
 	open   bool
+	// leaving names daemons that are about to stop.
+	leaving []ident.Daemon
 	// founder is true, with open, if this node may form a cluster alone. At
 	// most one node is ever told so.
 	founder    bool
--- a/core/coordination/consensus/replicate.go
+++ b/core/coordination/consensus/replicate.go
@@ -18,6 +18,9 @@
 	// goneAfter is how long a member is silent before its disk may be taken
 	// for lost, once the daemon reappears with another.
 	goneAfter = 3 * time.Second
+	// presentFor is how long an answer shows that a member is there: some
+	// heartbeats, and less than a new disk takes to join.
+	presentFor = 4 * HeartbeatInterval
 	// maxEntries bounds the entries of one message.
 	maxEntries = 256
 	// maxBytes bounds their data, unless a single entry is larger.
@@ -43,13 +46,22 @@
 	aliveUntil time.Time
 	// goneAt is when it counts as silent for long.
 	goneAt time.Time
+	// presentUntil is until when it counts as certainly there; zero until it
+	// has answered this leader.
+	presentUntil time.Time
 }
 
-func (p *progress) heard(now time.Time) {
+// assume gives a member the time that one has after an answer.
+func (p *progress) assume(now time.Time) {
 	p.aliveUntil = now.Add(ElectionTimeout)
 	p.goneAt = now.Add(goneAfter)
 }
 
+func (p *progress) heard(now time.Time) {
+	p.assume(now)
+	p.presentUntil = now.Add(presentFor)
+}
+
 // track keeps progress of exactly the members but the leader.
 func (n *Node) track(now time.Time) {
 	others := n.others()
@@ -61,7 +73,7 @@
 	for _, v := range others {
 		if n.progress[v] == nil {
 			p := &progress{next: n.log.last() + 1}
-			p.heard(now)
+			p.assume(now)
 			n.progress[v] = p
 		}
 	}
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -99,9 +99,12 @@
 	open, founder bool
 	startedAt     time.Time
 	seeds         []string
-	// disks and founding are what the voter was last told.
+	// disks, leaving and founding are what the voter was last told.
 	disks    []ident.Daemon
+	leaving  []ident.Daemon
 	founding bool
+	// voters and learners are those that the log last told of.
+	voters, learners []consensus.Voter
 	// listings are what replicas have announced since the placer was last told.
 	listings []placement.Listing
 	// reads holds who waits for a linearizable read of this leader.
