Copies of popular adapters compete with rare ones by the requests they serve

Two adapters had 80 and 97 requests at their only replica of 64 places, others 12; 1,445 of 1,562 choices had no alternative. Ruled out: a stuck count of transit (the placer's new line a second shows it move), reserved places, avoided replicas. Change: needs are ordered by the number of requests that a load serves sooner, for a copy the excess of each holder over its share. All copies that are worth more than the next rare adapter are made at once. Test: TestCopiesGoBeforeARushOfRareAdapters failed before (held by 1). Orders and a line a second about the placer are logged.

--- a/core/coordination/placement/copies.go
+++ b/core/coordination/placement/copies.go
@@ -1,10 +1,7 @@
 package placement
 
 import (
-	"cmp"
-	"maps"
 	"math"
-	"slices"
 	"time"
 
 	"papayaspoke/core/ident"
@@ -48,12 +45,28 @@
 	return r
 }
 
-// copies makes another copy of what fills more than its share.
-func (p *Placer) copies(now time.Time) {
+// shortage is an adapter whose copies carry more than their share.
+type shortage struct {
+	service ident.Service
+	// copies are there or under way; at least 1.
+	copies int
+	// running counts the requests in flight for it, share how many of them one
+	// copy should carry.
+	running, share float64
+}
+
+// relief is by how many requests the load of each copy would exceed its share
+// with some more copies. It compares with the number of requests that wait for
+// what is not loaded.
+func (s *shortage) relief(more int) float64 { return s.running/float64(s.copies+more) - s.share }
+
+// countCopies looks for adapters whose copies carry more than their share.
+func (p *Placer) countCopies(now time.Time) {
 	if now.Before(p.copyAt) {
 		return
 	}
 	p.copyAt = now.Add(copyInterval)
+	clear(p.short)
 	total, seats := 0, 0
 	for _, s := range p.seats {
 		if s.known && !s.Leaving {
@@ -71,31 +84,27 @@
 			running[r.Weights] += r.Running
 		}
 	}
-	for _, w := range slices.SortedFunc(maps.Keys(running), func(a, b Weights) int {
-		return cmp.Or(cmp.Compare(running[b], running[a]), cmp.Compare(a.Adapter, b.Adapter))
-	}) {
-		if float64(running[w]) <= share {
-			return
+	for w, n := range running {
+		if w.IsModel() || float64(n) <= share {
+			continue
+		}
+		s := &shortage{running: float64(n), share: share}
+		s.service, s.copies = p.copiesOf(w)
+		if s.copies > 0 && s.relief(0) > 0 {
+			p.short[w] = s
 		}
-		p.copy(now, w, int(math.Ceil(float64(running[w])/share)))
 	}
 }
 
-func (p *Placer) copy(now time.Time, w Weights, wanted int) {
-	if w.IsModel() {
-		return
-	}
+// copiesOf counts the replicas that hold w or will.
+func (p *Placer) copiesOf(w Weights) (ident.Service, int) {
 	var service ident.Service
-	have := 0
+	n := 0
 	for _, s := range p.seats {
-		if sl := s.slots[w]; sl != nil && sl.usable() && !s.Leaving || s.plans(w) {
-			have++
+		if sl := s.slots[w]; sl != nil && sl.usable() && !s.Leaving && !p.avoids(s) || s.plans(w) {
+			n++
 			service = s.Service
 		}
 	}
-	for ; have > 0 && have < wanted && p.transit(now) < MaxTransit; have++ {
-		if !p.placeOne(now, w, p.named[w], service) {
-			return
-		}
-	}
+	return service, n
 }
--- a/core/coordination/placement/place.go
+++ b/core/coordination/placement/place.go
@@ -24,15 +24,30 @@
 	p.setAvoided(now)
 	p.replaceStale(now)
 	p.placeModels(now)
-	for _, w := range p.ordered(now) {
+	for _, n := range p.needs() {
 		if p.transit(now) >= MaxTransit {
 			break
 		}
-		p.placeOne(now, w, p.wants[w].version, p.wants[w].service)
+		if !p.placeOne(now, n.weights, n.version, n.service) {
+			continue
+		}
+		if s := p.short[n.weights]; s != nil {
+			s.copies++
+		}
 	}
 	p.send(now)
 }
 
+// need is an adapter to be loaded somewhere.
+type need struct {
+	weights Weights
+	service ident.Service
+	version uint64
+	// worth is how many requests the load serves sooner.
+	worth float64
+	since time.Time
+}
+
 func (p *Placer) expire(now time.Time) {
 	for w, x := range p.wants {
 		for d, n := range x.waiting {
@@ -46,22 +61,28 @@
 	}
 }
 
-// ordered returns what is wanted and not there, what most requests wait for
-// first.
-func (p *Placer) ordered(now time.Time) []Weights {
-	var out []Weights
-	counts := make(map[Weights]int)
+// needs returns what is wanted and not there, and what wants another copy, what
+// serves most requests first: otherwise a rush of rare adapters would keep the
+// store busy while all requests for a popular one queue at its only copy.
+func (p *Placer) needs() []need {
+	var out []need
 	for w, x := range p.wants {
 		if w.IsModel() || p.placed(w, max(x.version, p.named[w])) {
 			continue
 		}
-		for _, n := range x.waiting {
-			counts[w] += n.count
+		n := need{weights: w, service: x.service, version: x.version, since: x.since}
+		for _, c := range x.waiting {
+			n.worth += float64(c.count)
+		}
+		out = append(out, n)
+	}
+	for w, s := range p.short {
+		for more := 0; s.relief(more) > 0 && s.copies+more < len(p.seats); more++ {
+			out = append(out, need{weights: w, service: s.service, version: p.named[w], worth: s.relief(more)})
 		}
-		out = append(out, w)
 	}
-	slices.SortFunc(out, func(a, b Weights) int {
-		return cmp.Or(cmp.Compare(counts[b], counts[a]), p.wants[a].since.Compare(p.wants[b].since), cmp.Compare(a.Adapter, b.Adapter))
+	slices.SortFunc(out, func(a, b need) int {
+		return cmp.Or(cmp.Compare(b.worth, a.worth), a.since.Compare(b.since), cmp.Compare(a.weights.Adapter, b.weights.Adapter))
 	})
 	return out
 }
--- a/core/coordination/placement/placer.go
+++ b/core/coordination/placement/placer.go
@@ -143,7 +143,9 @@
 	// fetch is how long an adapter takes from the store, as learned.
 	fetch time.Duration
 	// away holds the replicas that are to be avoided now.
-	away   map[ident.Upstream]bool
+	away map[ident.Upstream]bool
+	// short holds what wants another copy, as of the last count.
+	short  map[Weights]*shortage
 	copyAt time.Time
 	out    Effects
 }
@@ -158,6 +160,7 @@
 		rates:   make(map[Weights]*rate),
 		named:   make(map[Weights]uint64),
 		away:    make(map[ident.Upstream]bool),
+		short:   make(map[Weights]*shortage),
 	}
 }
 
@@ -356,7 +359,7 @@
 // Tick tells the time. It is due every 50 ms or so.
 func (p *Placer) Tick(now time.Time) Effects {
 	p.count(now)
-	p.copies(now)
+	p.countCopies(now)
 	p.place(now)
 	for _, name := range slices.Sorted(maps.Keys(p.seats)) {
 		s := p.seats[name]
--- a/core/coordination/placement/placer_test.go
+++ b/core/coordination/placement/placer_test.go
@@ -330,6 +330,33 @@
 	assert.Assert(t, len(b.holders(adapter(1))) >= 3)
 }
 
+// TestCopiesGoBeforeARushOfRareAdapters answers the pattern of a refill: the
+// store is kept busy by rare adapters, one request each, while a popular one
+// has all its requests at a single replica. Copies of it are made first.
+func TestCopiesGoBeforeARushOfRareAdapters(t *testing.T) {
+	var es []*engine
+	for i := range 6 {
+		es = append(es, newEngine(ident.Upstream(fmt.Sprintf("r%d", i)), 20))
+	}
+	b := newBench(es...)
+	b.want(adapter(0))
+	b.tick(time.Second)
+	home := b.holders(adapter(0))[0]
+	for i := range 200 {
+		u := Usage{Runs: []Run{{Replica: home, Weights: adapter(0), Running: 80, Started: 5}}}
+		for j := range 60 {
+			u.Demands = append(u.Demands, Demand{Service: "s", Weights: adapter(1 + i/5 + j), Waiting: 1})
+		}
+		// Daemons talk far more often than the placer's clock ticks.
+		b.now = b.now.Add(5 * time.Millisecond)
+		b.use(u)
+		if i%10 == 9 {
+			b.carry(b.p.Tick(b.now))
+		}
+	}
+	assert.Assert(t, len(b.holders(adapter(0))) >= 4, "held by %d", len(b.holders(adapter(0))))
+}
+
 // TestScanKeepsThePopular asks once for each of many rare adapters while a few
 // are in constant use: the popular ones stay.
 func TestScanKeepsThePopular(t *testing.T) {
--- a/io/daemon/placer.go
+++ b/io/daemon/placer.go
@@ -24,6 +24,8 @@
 	usageTimeout = 300 * time.Millisecond
 	// orderTimeout bounds an order to a replica.
 	orderTimeout = 200 * time.Millisecond
+	// placementInterval separates the lines that tell of the placer's state.
+	placementInterval = time.Second
 )
 
 // placing is the part of the control loop that has to do with placement.
@@ -40,6 +42,8 @@
 	// retiredAt when.
 	retired   uint64
 	retiredAt time.Time
+	// tellAt is when the next line about the placer's state is due.
+	tellAt time.Time
 	// named is since when versions of adapters are known here.
 	named map[placement.Weights]gateway.Named
 	// table is the routing table that the replicas were last matched with.
@@ -63,6 +67,20 @@
 	if p := c.placing.placer; p != nil && c.placing.lease.Holds(now) {
 		c.carryOrders(p.Tick(now))
 	}
+	c.logPlacement(now)
+}
+
+// logPlacement tells once in a while what the placer knows and waits for.
+func (c *control) logPlacement(now time.Time) {
+	p := c.placing.placer
+	if p == nil || now.Before(c.placing.tellAt) {
+		return
+	}
+	c.placing.tellAt = now.Add(placementInterval)
+	s := p.Summary(now)
+	c.log.Info("placement", "fence", uint64(p.Fence()), "lease", c.placing.lease.Holds(now), "replicas", s.Seats, "known", s.Known,
+		"stale", s.Stale, "leaving", s.Leaving, "avoided", s.Away, "transit", s.Transit, "planned", s.Planned,
+		"ordered", s.Ordered, "wanted", s.Wanted, "doubtful", s.Doubtful)
 }
 
 // appoint lets the leader look after the office of the placer.
@@ -235,7 +253,7 @@
 	if v != placement.Begun && v != placement.Done {
 		p.d.log.Info("order not carried out", "replica", t.Replica, "adapter", o.Weights.Adapter, "load", o.Load, "verdict", v.String())
 	} else {
-		p.d.log.V(1).Info("order", "replica", t.Replica, "adapter", o.Weights.Adapter, "load", o.Load, "version", o.Version, "verdict", v.String())
+		p.d.log.Info("order", "replica", t.Replica, "adapter", o.Weights.Adapter, "load", o.Load, "version", o.Version, "verdict", v.String())
 	}
 	p.d.ctl.post(func(now time.Time) { p.d.ctl.ordered(now, o, v) })
 }
