A placer that stops resigns; a plain change of holder needs no wait for rivals

Change: the next placer waits for the lease and for orders on their way (2.0 s from the last read). Each daemon keeps a history of the office, and whoever held it lately is not appointed again after another. A placer that drains waits for the answers to its orders and resigns by a command of its own; the leader then appoints the next at once. Ruled out: a shorter lease (orders would be withheld during elections).

--- a/core/coordination/appoint/appoint.go
+++ b/core/coordination/appoint/appoint.go
@@ -14,8 +14,11 @@
 	// in office. Shorter leases need more reads, longer ones put off the next
 	// placer.
 	LeaseFor = time.Second
-	// margin covers the drift of clocks and an order on its way.
+	// margin covers the drift of clocks.
 	margin = 400 * time.Millisecond
+	// OnItsWay is how long after it was given up an order may still reach its
+	// replica: a lost packet is sent again after some hundred ms.
+	OnItsWay = 600 * time.Millisecond
 	// silentAfter is how long a placer may go without a read before it counts
 	// as out of touch; it makes four in each lease.
 	silentAfter = LeaseFor + LeaseFor/5
@@ -40,9 +43,6 @@
 // Assigner appoints and retires placers while its daemon leads. It is not safe
 // for concurrent use.
 type Assigner struct {
-	// rivalFor is how long after the last order of one holder replicas take
-	// those of another for a rival's.
-	rivalFor time.Duration
 	// renewed is when the placer in office last made a read through this
 	// leader, or when the leader began: no lease can be younger.
 	renewed time.Time
@@ -54,11 +54,9 @@
 	repeatAt time.Time
 }
 
-// New returns the assigner of a leader that begins now; rivalFor is as in the
-// settings. Reads through former leaders were asked for earlier.
-func New(now time.Time, rivalFor time.Duration) *Assigner {
-	return &Assigner{rivalFor: rivalFor, renewed: now}
-}
+// New returns the assigner of a leader that begins now. Reads through former
+// leaders were asked for earlier.
+func New(now time.Time) *Assigner { return &Assigner{renewed: now} }
 
 // Read notes a read that the daemon of the record p made through this leader.
 func (a *Assigner) Read(now time.Time, p state.Placer) {
@@ -68,42 +66,44 @@
 	}
 }
 
-// Step returns the command that is due, or nil. If p is retired, retired is
-// when this daemon applied that: reads from then on tell the placer so, and no
-// lease is younger.
-func (a *Assigner) Step(now time.Time, p state.Placer, retired time.Time, cs []Candidate) state.Command {
+// Step returns the command that is due, or nil. The history must have seen p.
+func (a *Assigner) Step(now time.Time, p state.Placer, h *History, cs []Candidate) state.Command {
 	if now.Before(a.repeatAt) {
 		return nil
 	}
-	c := a.due(now, p, retired, cs)
+	c := a.due(now, p, h, cs)
 	if c != nil {
 		a.repeatAt = now.Add(repeatAfter)
 	}
 	return c
 }
 
-func (a *Assigner) due(now time.Time, p state.Placer, retired time.Time, cs []Candidate) state.Command {
+func (a *Assigner) due(now time.Time, p state.Placer, h *History, cs []Candidate) state.Command {
 	i := slices.IndexFunc(cs, func(c Candidate) bool { return c.Name == p.Daemon })
 	serves := i >= 0 && cs[i].Reachable && !cs[i].Draining
+	resigns := i >= 0 && cs[i].Reachable && cs[i].Draining && cs[i].Incarnation == p.Incarnation
 	if p.InOffice() {
 		if p.Fence != a.fence {
 			// A new placer has yet to make its first read.
 			a.fence, a.renewed = p.Fence, now
 		}
 		silent := now.Sub(a.renewed) > silentAfter
-		if serves && !silent && cs[i].Incarnation == p.Incarnation {
+		if serves && !silent && cs[i].Incarnation == p.Incarnation || resigns && !silent {
 			return nil
 		}
 		return state.RetirePlacer{Fence: p.Fence}
 	}
-	back := i >= 0 && (cs[i].Incarnation != p.Incarnation || !a.seen.IsZero() && now.Sub(a.seen) < seenFor)
+	back := i >= 0 && (cs[i].Incarnation != p.Incarnation || !p.Resigned && !a.seen.IsZero() && now.Sub(a.seen) < seenFor)
 	if serves && p.Retired != 0 && back {
 		return state.AppointPlacer{Daemon: p.Daemon, Incarnation: cs[i].Incarnation, After: p.Retired}
 	}
-	if p.Retired != 0 && now.Sub(earlier(a.renewed, retired)) < LeaseFor+a.rivalFor+margin {
+	if p.Retired != 0 && !p.Resigned && now.Sub(earlier(a.renewed, h.endedAt(p.Fence))) < LeaseFor+margin+OnItsWay {
 		return nil
 	}
-	next, ok := choose(cs)
+	next, ok := choose(cs, func(c Candidate) bool {
+		stops := p.Resigned && c.Name == p.Daemon && c.Incarnation == p.Incarnation
+		return !stops && h.free(now, c.Name)
+	})
 	if !ok {
 		return nil
 	}
@@ -118,10 +118,10 @@
 }
 
 // choose prefers daemons without a disk: those with one have the log to keep.
-func choose(cs []Candidate) (Candidate, bool) {
+func choose(cs []Candidate, free func(Candidate) bool) (Candidate, bool) {
 	var fit []Candidate
 	for _, c := range cs {
-		if c.Reachable && !c.Draining {
+		if c.Reachable && !c.Draining && free(c) {
 			fit = append(fit, c)
 		}
 	}
--- a/core/state/platform.go
+++ b/core/state/platform.go
@@ -37,6 +37,9 @@
 	// Retired is the index of the RetirePlacer, 0 while the placer is in
 	// office; it is larger than Fence.
 	Retired uint64
+	// Resigned is true, with Retired, if the placer ended its office itself
+	// after its last order.
+	Resigned bool
 }
 
 // InOffice reports whether there is a placer.
@@ -70,6 +73,9 @@
 // RetirePlacer ends the office of the placer with this fencing number.
 type RetirePlacer struct {
 	Fence ident.Fence
+	// Resigned is true if the placer says so itself; it then gives no order any
+	// more.
+	Resigned bool
 }
 
 type namingKey struct {
@@ -140,7 +146,7 @@
 	if uint64(p.Fence) == s.v.index {
 		return failed(result.New(result.ChangeRefused, "placer %q was appointed just now", p.Daemon))
 	}
-	s.v.placer.Retired = s.v.index
+	s.v.placer.Retired, s.v.placer.Resigned = s.v.index, c.Resigned
 	return Outcome{Fence: c.Fence}
 }
 
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"math/big"
 	mathrand "math/rand/v2"
 	"net/http"
+	"papayaspoke/core/coordination/appoint"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -146,6 +147,7 @@
 		supersede:     d.halt,
 		orders:        newOrders(d),
 		platform:      d.platform,
+		placing:       placing{history: appoint.NewHistory(now, d.settings.Platform().Rival())},
 		open:          d.settings.Open(),
 		startedAt:     now,
 		founder:       d.settings.Founder(),
--- a/io/daemon/placer.go
+++ b/io/daemon/placer.go
@@ -10,6 +10,7 @@
 	"papayaspoke/core/coordination/placement"
 	"papayaspoke/core/ident"
 	"papayaspoke/core/routes"
+	"papayaspoke/core/state"
 	"papayaspoke/io/gateway"
 )
 
@@ -24,6 +25,9 @@
 	usageTimeout = 300 * time.Millisecond
 	// orderTimeout bounds an order to a replica.
 	orderTimeout = 200 * time.Millisecond
+	// resignAgain is when a resignation that has had no effect is proposed
+	// again.
+	resignAgain = 500 * time.Millisecond
 	// placementInterval separates the lines that tell of the placer's state.
 	placementInterval = time.Second
 )
@@ -38,10 +42,14 @@
 	// renewAt is when the lease is renewed, renewing is true meanwhile.
 	renewAt  time.Time
 	renewing bool
-	// retired is the last retirement of a placer that was applied here, and
-	// retiredAt when.
-	retired   uint64
-	retiredAt time.Time
+	// history is what this daemon has seen of the office.
+	history *appoint.History
+	// giving counts the orders under way; none can reach a replica any more
+	// after quietAt if it is 0.
+	giving  int
+	quietAt time.Time
+	// resignAt is when the resignation may be proposed (again).
+	resignAt time.Time
 	// tellAt is when the next line about the placer's state is due.
 	tellAt time.Time
 	// named is since when versions of adapters are known here.
@@ -63,6 +71,7 @@
 	}
 	c.appoint(now)
 	c.hold(now)
+	c.resign(now)
 	// Without the lease no order would go out, so none is planned.
 	if p := c.placing.placer; p != nil && c.placing.lease.Holds(now) {
 		c.carryOrders(p.Tick(now))
@@ -85,17 +94,14 @@
 
 // appoint lets the leader look after the office of the placer.
 func (c *control) appoint(now time.Time) {
-	if r := c.view.Placer().Retired; r != 0 && r != c.placing.retired {
-		c.placing.retired, c.placing.retiredAt = r, now
-	}
 	if !c.leading() {
 		c.placing.assigner = nil
 		return
 	}
 	if c.placing.assigner == nil {
-		c.placing.assigner = appoint.New(now, c.platform.Settings().Rival())
+		c.placing.assigner = appoint.New(now)
 	}
-	if cmd := c.placing.assigner.Step(now, c.view.Placer(), c.placing.retiredAt, c.candidates()); cmd != nil {
+	if cmd := c.placing.assigner.Step(now, c.view.Placer(), c.placing.history, c.candidates()); cmd != nil {
 		c.log.Info("office of the placer", "command", describe(cmd))
 		c.orders.commit(cmd)
 	}
@@ -124,6 +130,25 @@
 	}
 }
 
+// resign ends the office of a placer that is about to stop, once none of its
+// orders is under way: the next placer then need not wait for its lease to end.
+func (c *control) resign(now time.Time) {
+	o := c.view.Placer()
+	mine := o.InOffice() && o.Daemon == c.self && o.Incarnation == c.inc
+	if !mine || !c.draining || c.placing.giving > 0 || now.Before(c.placing.quietAt) || now.Before(c.placing.resignAt) {
+		return
+	}
+	c.placing.resignAt = now.Add(resignAgain)
+	c.log.Info("resigns as the placer", "fence", uint64(o.Fence))
+	go c.platform.resign(o.Fence)
+}
+
+func (p *Platform) resign(fence ident.Fence) {
+	if err := p.commit(p.d.ctx, state.RetirePlacer{Fence: fence, Resigned: true}); err != nil {
+		p.d.log.Info("the resignation was not taken", "fence", uint64(fence), "error", err.Error())
+	}
+}
+
 func (c *control) renew(now time.Time) {
 	c.placing.renewAt, c.placing.renewing = now.Add(renewInterval), true
 	c.send.catchUp(func(ok bool) {
@@ -216,6 +241,7 @@
 			c.postLater(func(now time.Time) { c.ordered(now, o, placement.Withheld) })
 			continue
 		}
+		c.placing.giving++
 		go c.platform.order(t, o, c.placing.placer.Fence())
 	}
 	for _, name := range e.Ask {
@@ -255,7 +281,13 @@
 	} else {
 		p.d.log.Info("order", "replica", t.Replica, "adapter", o.Weights.Adapter, "load", o.Load, "version", o.Version, "verdict", v.String())
 	}
-	p.d.ctl.post(func(now time.Time) { p.d.ctl.ordered(now, o, v) })
+	p.d.ctl.post(func(now time.Time) {
+		c := p.d.ctl
+		if c.placing.giving--; v == placement.Unanswered {
+			c.placing.quietAt = now.Add(appoint.OnItsWay)
+		}
+		c.ordered(now, o, v)
+	})
 }
 
 // list asks a replica what it holds.
--- a/io/daemon/witness.go
+++ b/io/daemon/witness.go
@@ -83,6 +83,7 @@
 	}
 	c.term = e.Term
 	o := c.state.Apply(e.Index, cmd)
+	c.placing.history.See(now, c.state.View().Placer())
 	c.proposals.applied(e.Index, o)
 	c.noteQuarantine(now, cmd)
 	c.noteOwner(cmd)
@@ -105,6 +106,7 @@
 		return
 	}
 	c.state, c.term = st, s.Term
+	c.placing.history.See(now, st.View().Placer())
 	c.membersDirty = true
 	c.restoreQuarantine(now)
 	c.applied(now, s.Index)
--- a/io/protocol/peer/stateplatform.go
+++ b/io/protocol/peer/stateplatform.go
@@ -21,6 +21,9 @@
 			Daemon: string(c.Daemon), Incarnation: uint64(c.Incarnation), Retired: c.After,
 		}}}, true
 	case state.RetirePlacer:
+		if c.Resigned {
+			return &peerpb.Command{Kind: &peerpb.Command_ResignPlacer{ResignPlacer: uint64(c.Fence)}}, true
+		}
 		return &peerpb.Command{Kind: &peerpb.Command_RetirePlacer{RetirePlacer: uint64(c.Fence)}}, true
 	}
 	return nil, false
@@ -39,6 +42,8 @@
 		}, true
 	case *peerpb.Command_RetirePlacer:
 		return state.RetirePlacer{Fence: ident.Fence(k.RetirePlacer)}, true
+	case *peerpb.Command_ResignPlacer:
+		return state.RetirePlacer{Fence: ident.Fence(k.ResignPlacer), Resigned: true}, true
 	}
 	return nil, false
 }
@@ -54,6 +59,7 @@
 func placerToWire(p state.Placer) *peerpb.PlacerRecord {
 	return &peerpb.PlacerRecord{
 		Daemon: string(p.Daemon), Incarnation: uint64(p.Incarnation), Fence: uint64(p.Fence), Retired: p.Retired,
+		Resigned: p.Resigned,
 	}
 }
 
@@ -61,5 +67,6 @@
 	return state.Placer{
 		Daemon: ident.Daemon(p.GetDaemon()), Incarnation: ident.Incarnation(p.GetIncarnation()),
 		Fence: ident.Fence(p.GetFence()), Retired: p.GetRetired(),
+		Resigned: p.GetResigned(),
 	}
 }
