At a busy store, who can still be served in time goes first; more patience

First come, first served made all wait 2 s. Change: a want that is older than 0.5 s counts 0.4 of a fresh one. Requests wait up to three targets (two before): a refused one came back to the same queue. Test: TestInTimeBeforeLate failed before.

--- a/core/coordination/placement/place.go
+++ b/core/coordination/placement/place.go
@@ -16,6 +16,13 @@
 	// spreadCost is what the last rank of a replica weighs against the first,
 	// in seconds: less than a load from the store, more than one from the disk.
 	spreadCost = 0.1
+	// inTime is how long after it was first wanted an adapter can be ordered for
+	// its request to be answered in time: targets are 1 s on the users' sheets,
+	// and fetching and reading take half of that.
+	inTime = 500 * time.Millisecond
+	// lateWorth is what a late answer is worth of one in time: 0.3 to 0.5 on the
+	// users' sheets.
+	lateWorth = 0.4
 )
 
 // place gives what orders it can for what is wanted.
@@ -24,7 +31,7 @@
 	p.setAvoided(now)
 	p.replaceStale(now)
 	p.placeModels(now)
-	for _, n := range p.needs() {
+	for _, n := range p.needs(now) {
 		if p.transit(now) >= MaxTransit {
 			break
 		}
@@ -63,8 +70,10 @@
 
 // needs returns what is wanted and not there, and what wants another copy, what
 // serves most requests first: otherwise a rush of rare adapters would keep the
-// store busy while all requests for a popular one queue at its only copy.
-func (p *Placer) needs() []need {
+// store busy while all requests for a popular one queue at its only copy. While
+// the store has more to fetch than it can, who still can be served in time goes
+// before who can't: first come first served would make all late.
+func (p *Placer) needs(now time.Time) []need {
 	var out []need
 	for w, x := range p.wants {
 		if w.IsModel() || p.placed(w, max(x.version, p.named[w])) {
@@ -74,6 +83,9 @@
 		for _, c := range x.waiting {
 			n.worth += float64(c.count)
 		}
+		if now.Sub(x.since) > inTime {
+			n.worth *= lateWorth
+		}
 		out = append(out, n)
 	}
 	for w, s := range p.short {
--- a/core/coordination/placement/placer_test.go
+++ b/core/coordination/placement/placer_test.go
@@ -357,6 +357,43 @@
 	assert.Assert(t, len(b.holders(adapter(0))) >= 4, "held by %d", len(b.holders(adapter(0))))
 }
 
+// TestInTimeBeforeLate answers a rush that asks for more rare adapters than the
+// store can fetch, each once and for three seconds: many are still loaded while
+// their request can be answered in time. First come, first served would serve
+// all of them late.
+func TestInTimeBeforeLate(t *testing.T) {
+	var es []*engine
+	for i := range 8 {
+		es = append(es, newEngine(ident.Upstream(fmt.Sprintf("r%d", i)), 100))
+	}
+	b := newBench(es...)
+	wanted := make(map[int]time.Time)
+	inTime, asked := 0, 0
+	for i := range 120 {
+		wanted[2*i], wanted[2*i+1] = b.now, b.now
+		var u Usage
+		for j, at := range wanted {
+			late := b.now.Sub(at)
+			held := len(b.holders(adapter(j))) > 0
+			if held || late > 3*time.Second {
+				delete(wanted, j)
+				if j > 120 {
+					asked++
+					if held && late < 800*time.Millisecond {
+						inTime++
+					}
+				}
+				u.Demands = append(u.Demands, Demand{Service: "s", Weights: adapter(j)})
+				continue
+			}
+			u.Demands = append(u.Demands, Demand{Service: "s", Weights: adapter(j), Waiting: 1})
+		}
+		b.use(u)
+		b.tick(50 * time.Millisecond)
+	}
+	assert.Assert(t, 2*inTime > asked, "%d of %d in time", inTime, asked)
+}
+
 // TestScanKeepsThePopular asks once for each of many rare adapters while a few
 // are in constant use: the popular ones stay.
 func TestScanKeepsThePopular(t *testing.T) {
--- a/io/gateway/acquire.go
+++ b/io/gateway/acquire.go
@@ -21,7 +21,7 @@
 	waitMost  = 4 * time.Second
 	// waitTargets is how many times the route's target a request waits at most:
 	// clients give up on an answer that has not begun.
-	waitTargets = 2
+	waitTargets = 3
 	// placerSilent is how long the placer may be silent before requests for
 	// what is not loaded are refused at once: the next one is in office sooner,
 	// if there can be one. placerBack is when it is worth to come back, counted
