Log lines of belief: daemons suspected and trusted, replicas left out, the placer's lease

Asked for by the issue on explaining failures: a line when a daemon joins, is suspected, trusted again, drains or is gone, when a replica is left out and for how long, when the placer loses or regains its lease; a histogram of the first byte for each replica, bounded like the counters.

--- a/core/coordination/balance/balance.go
+++ b/core/coordination/balance/balance.go
@@ -8,6 +8,7 @@
 
 	"papayaspoke/core/coordination/placement"
 	"papayaspoke/core/ident"
+	"papayaspoke/core/option"
 )
 
 const (
@@ -360,13 +361,20 @@
 	Unreachable
 )
 
+var outcomeNames = [...]string{"", "good", "neutral", "faulty", "unreachable"}
+
+// String returns a word for logs.
+func (o Outcome) String() string { return outcomeNames[o] }
+
 // Done ends a request that Pick counted; took is the time to the first piece
-// of a good answer.
-func (b *Balancer) Done(now time.Time, c Choice, o Outcome, took time.Duration) {
+// of a good answer. If the replica is left out from now on, it returns until
+// when.
+func (b *Balancer) Done(now time.Time, c Choice, o Outcome, took time.Duration) option.Option[time.Time] {
 	p := b.peers[c.Replica.Name]
 	if p == nil || p.Incarnation != c.Replica.Incarnation {
-		return
+		return option.None[time.Time]()
 	}
+	out := now.Before(p.ejectedUntil)
 	p.running[c.Weights]--
 	p.own--
 	switch o {
@@ -385,6 +393,10 @@
 	case Unreachable:
 		p.eject(now)
 	}
+	if out || !now.Before(p.ejectedUntil) {
+		return option.None[time.Time]()
+	}
+	return option.Some(p.ejectedUntil)
 }
 
 func (p *peer) eject(now time.Time) {
--- a/io/daemon/members.go
+++ b/io/daemon/members.go
@@ -71,6 +71,7 @@
 	c.dirty = true
 	c.membersDirty = false
 	daemons := c.members.Daemons()
+	before := c.daemonTable
 	c.daemonTable = make(map[ident.Daemon]daemonInfo, len(daemons))
 	for _, m := range daemons {
 		c.daemonTable[m.Name] = daemonInfo{
@@ -78,6 +79,7 @@
 			suspected: c.members.Unreachable(m.Name), disk: m.Disk != "",
 		}
 	}
+	c.logDaemons(before, c.daemonTable)
 	names := make([]ident.Daemon, 0, len(daemons))
 	for _, d := range daemons {
 		names = append(names, d.Name)
@@ -92,6 +94,30 @@
 	c.upstreamsChanged(now)
 }
 
+// logDaemons tells what this daemon has come to believe of the others.
+func (c *control) logDaemons(before, after map[ident.Daemon]daemonInfo) {
+	for _, name := range sortedKeys(after) {
+		old, known := before[name]
+		is := after[name]
+		switch {
+		case name == c.self:
+		case !known:
+			c.log.Info("daemon joined", "name", name, "centre", is.dataCentre, "disk", is.disk)
+		case is.suspected && !old.suspected:
+			c.log.Info("daemon suspected", "name", name)
+		case old.suspected && !is.suspected:
+			c.log.Info("daemon trusted", "name", name)
+		case is.draining && !old.draining:
+			c.log.Info("daemon drains", "name", name)
+		}
+	}
+	for _, name := range sortedKeys(before) {
+		if _, known := after[name]; !known {
+			c.log.Info("daemon gone", "name", name)
+		}
+	}
+}
+
 // owners returns the daemons that may own replicas and so share the load
 // budget.
 func (c *control) owners() []ident.Daemon {
--- a/io/daemon/placer.go
+++ b/io/daemon/placer.go
@@ -50,6 +50,8 @@
 	quietAt time.Time
 	// resignAt is when the resignation may be proposed (again).
 	resignAt time.Time
+	// held is whether the lease was held when that was last told.
+	held bool
 	// tellAt is when the next line about the placer's state is due.
 	tellAt time.Time
 	// named is since when versions of adapters are known here.
@@ -72,6 +74,7 @@
 	c.appoint(now)
 	c.hold(now)
 	c.resign(now)
+	c.logLease(now)
 	// Without the lease no order would go out, so none is planned.
 	if p := c.placing.placer; p != nil && c.placing.lease.Holds(now) {
 		c.carryOrders(p.Tick(now))
@@ -79,6 +82,16 @@
 	c.logPlacement(now)
 }
 
+// logLease tells when this daemon, as the placer, loses or regains its lease.
+func (c *control) logLease(now time.Time) {
+	holds := c.placing.placer != nil && c.placing.lease.Holds(now)
+	if holds == c.placing.held {
+		return
+	}
+	c.placing.held = holds
+	c.log.Info("lease of the placer", "held", holds, "fence", uint64(c.view.Placer().Fence), "leader", c.leader)
+}
+
 // logPlacement tells once in a while what the placer knows and waits for.
 func (c *control) logPlacement(now time.Time) {
 	p := c.placing.placer
--- a/io/daemon/routed.go
+++ b/io/daemon/routed.go
@@ -27,7 +27,13 @@
 	mu sync.Mutex
 	// routes holds at most maxRoutes+1 entries, replicas maxReplicas+1.
 	routes   map[string]*routeMeter
-	replicas map[ident.Upstream]tally.Counter
+	replicas map[ident.Upstream]*replicaMeter
+}
+
+// replicaMeter counts the answers of a replica and times their first byte.
+type replicaMeter struct {
+	answers tally.Counter
+	first   tally.Histogram
 }
 
 type routeMeter struct {
@@ -38,7 +44,7 @@
 }
 
 func newRoutedMeter(s tally.Scope) *routedMeter {
-	return &routedMeter{scope: s, routes: make(map[string]*routeMeter), replicas: make(map[ident.Upstream]tally.Counter)}
+	return &routedMeter{scope: s, routes: make(map[string]*routeMeter), replicas: make(map[ident.Upstream]*replicaMeter)}
 }
 
 // observe counts a finished request.
@@ -60,7 +66,11 @@
 		r.repeats.Inc(int64(o.Sends - 1))
 	}
 	if o.Replica != "" {
-		m.replica(o.Replica).Inc(1)
+		r := m.replica(o.Replica)
+		r.answers.Inc(1)
+		if o.First > 0 {
+			r.first.RecordDuration(o.First)
+		}
 	}
 }
 
@@ -80,13 +90,14 @@
 	return r
 }
 
-func (m *routedMeter) replica(name ident.Upstream) tally.Counter {
+func (m *routedMeter) replica(name ident.Upstream) *replicaMeter {
 	if m.replicas[name] == nil && len(m.replicas) >= maxReplicas {
 		name = otherName
 	}
 	c := m.replicas[name]
 	if c == nil {
-		c = m.scope.Tagged(map[string]string{"replica": string(name)}).Counter("answers")
+		s := m.scope.Tagged(map[string]string{"replica": string(name)})
+		c = &replicaMeter{answers: s.Counter("answers"), first: s.Histogram("replica_first", answerBuckets)}
 		m.replicas[name] = c
 	}
 	return c
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -348,9 +348,13 @@
 }
 
 func (g *Gateway) done(c balance.Choice, o balance.Outcome, took time.Duration) {
+	now := g.Clock()
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.balancer.Done(g.Clock(), c, o, took)
+	until, out := g.balancer.Done(now, c, o, took).Get()
+	g.mu.Unlock()
+	if out {
+		g.Log.Info("replica left out", "replica", c.Replica.Name, "outcome", o.String(), "for", until.Sub(now).Milliseconds())
+	}
 }
 
 // booked notes until when a replica has prompts to read.
