--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -6,11 +6,12 @@
 	"math/big"
 	mathrand "math/rand/v2"
 	"net/http"
-	"papayaspoke/core/coordination/appoint"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"papayaspoke/core/coordination/appoint"
+
 	"github.com/go-logr/logr"
 	"papayaspoke/core/coordination/consensus"
 	"papayaspoke/core/coordination/dispatch"
