A silent placer gives way to another daemon

The placer was cut off; its reads still reached the leader, so it was appointed again at 10.2 s without hearing of it in time, suspected 0.15 s later and retired, and the wait began anew. Ruled out: the wait of 2 s itself, the suspicion (3 s after the last word). Change: only a daemon that has started anew is appointed again at once. One that was silent comes last among the candidates.

--- a/core/coordination/appoint/appoint.go
+++ b/core/coordination/appoint/appoint.go
@@ -22,9 +22,6 @@
 	// silentAfter is how long a placer may go without a read before it counts
 	// as out of touch; it makes four in each lease.
 	silentAfter = LeaseFor + LeaseFor/5
-	// seenFor is how fresh a read must be to show that a retired placer is in
-	// touch again; it goes on to make four in each lease.
-	seenFor = LeaseFor / 2
 	// repeatAfter is when a proposal that has had no effect is made again.
 	repeatAfter = 500 * time.Millisecond
 )
@@ -46,8 +43,6 @@
 	// renewed is when the placer in office last made a read through this
 	// leader, or when the leader began: no lease can be younger.
 	renewed time.Time
-	// seen is when the last placer made a read, in office or not.
-	seen time.Time
 	// fence is that of the placer that renewed belongs to.
 	fence ident.Fence
 	// proposed is what was proposed last; it may be proposed again at repeatAt.
@@ -61,7 +56,6 @@
 
 // Read notes a read that the daemon of the record p made through this leader.
 func (a *Assigner) Read(now time.Time, p state.Placer) {
-	a.seen = now
 	if p.InOffice() {
 		a.renewed = now
 	}
@@ -92,17 +86,18 @@
 		}
 		return state.RetirePlacer{Fence: p.Fence}
 	}
-	back := i >= 0 && (cs[i].Incarnation != p.Incarnation || !p.Resigned && !a.seen.IsZero() && now.Sub(a.seen) < seenFor)
-	if serves && p.Retired != 0 && back {
+	if serves && p.Retired != 0 && cs[i].Incarnation != p.Incarnation {
 		return state.AppointPlacer{Daemon: p.Daemon, Incarnation: cs[i].Incarnation, After: p.Retired}
 	}
 	if p.Retired != 0 && !p.Resigned && now.Sub(earlier(a.renewed, h.endedAt(p.Fence))) < LeaseFor+margin+OnItsWay {
 		return nil
 	}
-	next, ok := choose(cs, func(c Candidate) bool {
-		stops := p.Resigned && c.Name == p.Daemon && c.Incarnation == p.Incarnation
-		return !stops && h.free(now, c.Name)
-	})
+	same := func(c Candidate) bool { return c.Name == p.Daemon && c.Incarnation == p.Incarnation }
+	next, ok := choose(cs, func(c Candidate) bool { return !same(c) && h.free(now, c.Name) })
+	if !ok && !p.Resigned {
+		// It was silent, but nobody else is left.
+		next, ok = choose(cs, same)
+	}
 	if !ok {
 		return nil
 	}
--- a/core/coordination/appoint/doc.go
+++ b/core/coordination/appoint/doc.go
@@ -20,8 +20,9 @@
 // give orders in turn. A plain change of holder is no turn, but a daemon that
 // was in office lately, with another one since, is not appointed until replicas
 // have forgotten its orders; see [History]. A daemon that has started anew under
-// its own name, or shows by a read that it is in touch again, is appointed again
-// without a wait, since nobody has given orders after it.
+// its own name is appointed again without a wait, since nobody has given orders
+// after it. One that was silent comes last: that its reads arrive again does not
+// show that it hears the answers.
 //
 // # Clocks
 //
--- a/io/daemon/placer.go
+++ b/io/daemon/placer.go
@@ -136,9 +136,7 @@
 		c.placing.placer.SetNamed(now, c.versions())
 		c.replicasChanged(now)
 	}
-	// A placer that was retired while out of touch shows that it is back.
-	last := o.Daemon == c.self && !c.draining
-	if last && !c.placing.renewing && !now.Before(c.placing.renewAt) {
+	if mine && !c.placing.renewing && !now.Before(c.placing.renewAt) {
 		c.renew(now)
 	}
 }
