--- a/core/coordination/balance/balance_test.go
+++ b/core/coordination/balance/balance_test.go
@@ -137,9 +137,10 @@
 	for range 4 {
 		c, _, _ := b.Pick(now, Query{Service: "s", Exclude: []ident.Upstream{"b"}})
 		assert.Equal(t, c.Replica.Name, ident.Upstream("a"))
+		beside, _, _ := b.Pick(now, Query{Service: "s", Exclude: []ident.Upstream{"b"}})
 		until, left := b.Done(now, c, Unreachable, 0).Get()
 		assert.Assert(t, left && until.After(now))
-		_, again := b.Done(now, c, Unreachable, 0).Get()
+		_, again := b.Done(now, beside, Unreachable, 0).Get()
 		assert.Assert(t, !again, "it is told once")
 		out := time.Duration(0)
 		for ; len(b.Ejected(now)) > 0; now = now.Add(50 * time.Millisecond) {
--- a/core/coordination/dispatch/demand/demand.go
+++ b/core/coordination/dispatch/demand/demand.go
@@ -16,9 +16,8 @@
 	"papayaspoke/core/ident"
 )
 
-// HalfLife is the time in which a counter that nothing is added to halves. The
-// most popular adapters change within minutes, so it is well below.
-const HalfLife = 30 * time.Second
+// HalfLife is the time in which a counter that nothing is added to halves.
+const HalfLife = 2 * time.Minute
 
 // Counter is a decayed count. The zero value is an empty counter.
 type Counter struct {
