--- a/io/daemon/placer.go
+++ b/io/daemon/placer.go
@@ -10,13 +10,10 @@
 	"papayaspoke/core/coordination/placement"
 	"papayaspoke/core/ident"
 	"papayaspoke/core/routes"
-	"papayaspoke/core/state"
 	"papayaspoke/io/gateway"
 )
 
 const (
-	// renewInterval is how often a placer renews its lease.
-	renewInterval = appoint.LeaseFor / 4
 	// usageInterval is how often a daemon talks to the placer, and usagePause
 	// the least time between two such talks.
 	usageInterval = 200 * time.Millisecond
@@ -25,9 +22,6 @@
 	usageTimeout = 300 * time.Millisecond
 	// orderTimeout bounds an order to a replica.
 	orderTimeout = 200 * time.Millisecond
-	// resignAgain is when a resignation that has had no effect is proposed
-	// again.
-	resignAgain = 500 * time.Millisecond
 	// placementInterval separates the lines that tell of the placer's state.
 	placementInterval = time.Second
 )
@@ -82,16 +76,6 @@
 	c.logPlacement(now)
 }
 
-// logLease tells when this daemon, as the placer, loses or regains its lease.
-func (c *control) logLease(now time.Time) {
-	holds := c.placing.placer != nil && c.placing.lease.Holds(now)
-	if holds == c.placing.held {
-		return
-	}
-	c.placing.held = holds
-	c.log.Info("lease of the placer", "held", holds, "fence", uint64(c.view.Placer().Fence), "leader", c.leader)
-}
-
 // logPlacement tells once in a while what the placer knows and waits for.
 func (c *control) logPlacement(now time.Time) {
 	p := c.placing.placer
@@ -105,71 +89,6 @@
 		"ordered", s.Ordered, "wanted", s.Wanted, "doubtful", s.Doubtful)
 }
 
-// appoint lets the leader look after the office of the placer.
-func (c *control) appoint(now time.Time) {
-	if !c.leading() {
-		c.placing.assigner = nil
-		return
-	}
-	if c.placing.assigner == nil {
-		c.placing.assigner = appoint.New(now)
-	}
-	if cmd := c.placing.assigner.Step(now, c.view.Placer(), c.placing.history, c.candidates()); cmd != nil {
-		c.log.Info("office of the placer", "command", describe(cmd))
-		c.orders.commit(cmd)
-	}
-}
-
-// hold begins and ends this daemon's own term as the placer, and keeps its
-// lease alive.
-func (c *control) hold(now time.Time) {
-	o := c.view.Placer()
-	mine := o.InOffice() && o.Daemon == c.self && o.Incarnation == c.inc && !c.draining
-	switch {
-	case !mine && c.placing.placer != nil:
-		c.log.Info("places no more", "fence", uint64(c.placing.placer.Fence()))
-		c.placing.placer, c.placing.lease = nil, appoint.Lease{}
-	case mine && (c.placing.placer == nil || c.placing.placer.Fence() != o.Fence):
-		c.log.Info("places", "fence", uint64(o.Fence))
-		c.placing.placer = placement.New(o.Fence)
-		c.placing.renewAt = now
-		c.placing.placer.SetNamed(now, c.versions())
-		c.replicasChanged(now)
-	}
-	if mine && !c.placing.renewing && !now.Before(c.placing.renewAt) {
-		c.renew(now)
-	}
-}
-
-// resign ends the office of a placer that is about to stop, once none of its
-// orders is under way: the next placer then need not wait for its lease to end.
-func (c *control) resign(now time.Time) {
-	o := c.view.Placer()
-	mine := o.InOffice() && o.Daemon == c.self && o.Incarnation == c.inc
-	if !mine || !c.draining || c.placing.giving > 0 || now.Before(c.placing.quietAt) || now.Before(c.placing.resignAt) {
-		return
-	}
-	c.placing.resignAt = now.Add(resignAgain)
-	c.log.Info("resigns as the placer", "fence", uint64(o.Fence))
-	go c.platform.resign(o.Fence)
-}
-
-func (p *Platform) resign(fence ident.Fence) {
-	if err := p.commit(p.d.ctx, state.RetirePlacer{Fence: fence, Resigned: true}); err != nil {
-		p.d.log.Info("the resignation was not taken", "fence", uint64(fence), "error", err.Error())
-	}
-}
-
-func (c *control) renew(now time.Time) {
-	c.placing.renewAt, c.placing.renewing = now.Add(renewInterval), true
-	c.send.catchUp(func(ok bool) {
-		c.placing.renewing = false
-		if ok {
-			c.placing.lease = appoint.Grant(now, c.state.View().Placer(), c.self, c.inc)
-		}
-	})
-}
-
 // versions returns the named versions.
 func (c *control) versions() map[placement.Weights]uint64 {
 	out := make(map[placement.Weights]uint64, len(c.placing.named))
