Logs tell who ended a stream, and under which document a request was handled

A stream that ended before its last event was always "P304 answer was cut: unexpected EOF": the replica, a reset, a dead connection and the gateway's own watch could not be told apart. Now a line "stream ended early" names who ended it, the last event and for how long the client has had none; counted as streams_ended. "routed" and the lines of results name the version of the document in force, "routed" also the rank, so that a request handled under an old document, or refused for its rank, shows.

TestEndOfStreamIsTold.

--- a/io/daemon/routed.go
+++ b/io/daemon/routed.go
@@ -65,6 +65,9 @@
 	if o.Sends > 1 {
 		r.repeats.Inc(int64(o.Sends - 1))
 	}
+	for _, by := range o.EndedBy {
+		r.scope.Tagged(map[string]string{"by": by.String()}).Counter("streams_ended").Inc(1)
+	}
 	if o.Replica != "" {
 		r := m.replica(o.Replica)
 		r.answers.Inc(1)
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"papayaspoke/core/coordination/balance"
@@ -41,6 +42,8 @@
 	route    *routes.Route
 	service  *routes.Service
 	deadline time.Time
+	// routing is the version of the document that the route comes from.
+	routing uint64
 	// version is the least version of an adapter that will do.
 	version uint64
 
@@ -60,11 +63,13 @@
 	failed *result.Error
 
 	// stall fires when a stream that may be resumed has had no event for too
-	// long; nil while none is watched.
-	stall *time.Timer
+	// long; nil while none is watched. stalled is true once it has fired.
+	stall   *time.Timer
+	stalled atomic.Bool
 
 	// The rest is for logs and metrics.
 	code    result.Code
+	ended   []EndedBy
 	replica ident.Upstream
 	firstAt time.Time
 	// pieceAt is when the last piece was passed on, gap the longest pause
@@ -147,7 +152,7 @@
 	now := x.g.Clock()
 	fields := []any{
 		"request", x.r.ID, "route", x.route.Name, "replica", x.replica, "sends", x.sends,
-		"took", now.Sub(x.r.Arrival).Milliseconds(), "left", x.deadline.Sub(now).Milliseconds(),
+		"took", now.Sub(x.r.Arrival).Milliseconds(), "left", x.deadline.Sub(now).Milliseconds(), "routing", x.routing,
 	}
 	if !x.firstAt.IsZero() {
 		fields = append(fields, "first", x.firstAt.Sub(x.r.Arrival).Milliseconds(), "gap", x.gap.Milliseconds())
@@ -172,13 +177,13 @@
 	}
 	x.g.Log.Info("routed", "request", x.r.ID, "route", x.route.Name, "replica", c.Replica.Name, "cost", math.Round(100*c.Cost)/100,
 		"load", c.Load, "age", now.Sub(c.LoadAt).Milliseconds(), "adapter", x.r.Weights.Adapter, "tokens", x.r.Tokens,
-		"spaced", x.spaced.Milliseconds(), "reading", x.reading().Milliseconds(), "instead", instead.String())
+		"routing", x.routing, "rank", x.route.Priority, "spaced", x.spaced.Milliseconds(), "reading", x.reading().Milliseconds(), "instead", instead.String())
 }
 
 func (x *exchange) observe() {
 	o := Observation{
 		Route: x.route.Name, Code: x.code, Replica: x.replica, Sends: x.sends,
-		Whole: x.g.Clock().Sub(x.r.Arrival),
+		Whole: x.g.Clock().Sub(x.r.Arrival), EndedBy: x.ended,
 	}
 	if !x.firstAt.IsZero() {
 		o.First = x.firstAt.Sub(x.r.Arrival)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -104,6 +104,8 @@
 	// end.
 	First, Whole time.Duration
 	Sends        int
+	// EndedBy counts what ended streams of the request before their last event.
+	EndedBy []EndedBy
 }
 
 // demand is what requests of one daemon wait for.
@@ -312,8 +314,8 @@
 	}
 	x := &exchange{
 		g: g, w: w, r: r, route: rt, service: t.Service(rt.Pick(rand.Float64())),
-		deadline: r.Arrival.Add(rt.Timeout),
-		version:  g.versionOf(r.Weights),
+		deadline: r.Arrival.Add(rt.Timeout), routing: t.Version(),
+		version: g.versionOf(r.Weights),
 	}
 	if !r.Deadline.IsZero() && r.Deadline.Before(x.deadline) {
 		x.deadline = r.Deadline
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -148,12 +148,18 @@
 }
 
 func newSetup(t *testing.T, allowance balance.Allowance, engine *routes.Engine, rs ...*replica) *setup {
+	t.Helper()
+	return newSetupOf(t, routes.Route{Timeout: 2 * time.Second, Attempts: 2}, allowance, engine, rs...)
+}
+
+// newSetupOf is newSetup with the limits of a route for all four.
+func newSetupOf(t *testing.T, limits routes.Route, allowance balance.Allowance, engine *routes.Engine, rs ...*replica) *setup {
 	t.Helper()
 	route := func(name string, kind routes.Kind, resumable bool) routes.Route {
-		return routes.Route{
-			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Resumable: resumable,
-			Timeout: 2 * time.Second, Attempts: 2, Shares: []routes.Share{{Service: "s", Weight: 1}},
-		}
+		r := limits
+		r.Name, r.Host, r.Prefix, r.Kind, r.Resumable = name, "h", "/"+name+"/", kind, resumable
+		r.Shares = []routes.Share{{Service: "s", Weight: 1}}
+		return r
 	}
 	table, err := routes.New(1, []routes.Route{
 		route("safe", routes.Idempotent, false), route("once", routes.Once, false),
@@ -356,67 +362,6 @@
 }
 
 // TestStreamsThatCannotGoOnAreCut never ends a stream that lacks events.
-// TestStalledStreamGoesOnElsewhere answers replicas that go dark, or send a byte
-// now and then that completes no event, in the middle of a stream: where it may
-// be resumed it goes on at another replica before the client gives up. A stream
-// that is only slow is left alone.
-func TestStalledStreamGoesOnElsewhere(t *testing.T) {
-	cases := map[string]struct {
-		stall   func(w io.Writer)
-		resumed bool
-	}{
-		"dark":                  {func(io.Writer) { time.Sleep(1800 * time.Millisecond) }, true},
-		"a byte now and then":   {func(w io.Writer) { drip(w, 1800*time.Millisecond) }, true},
-		"slow, but events come": {func(w io.Writer) { slowly(w, 3, 6) }, false},
-	}
-	for name, tc := range cases {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			x := newReplica(t, "x", func(w io.Writer, r *http.Request, _ int) bool {
-				streamHead(w, r)
-				chunk(w, event(1)+event(2))
-				tc.stall(w)
-				_, _ = io.WriteString(w, "0\r\n\r\n")
-				return true
-			})
-			y := newReplica(t, "y", func(w io.Writer, r *http.Request, _ int) bool {
-				streamHead(w, r)
-				for n := 3; n <= 6; n++ {
-					chunk(w, event(n))
-				}
-				_, _ = io.WriteString(w, "0\r\n\r\n")
-				return true
-			})
-			s := newSetup(t, plenty, nil, x, y)
-			// The one that stalls is asked first.
-			_, m, _ := s.balancer.Pick(time.Now(), balance.Query{Service: "s", Exclude: []ident.Upstream{"x"}})
-			assert.Equal(t, m, balance.Found)
-			begun := time.Now()
-			resp, body, cut := s.ask(t, http.MethodPost, "/resume/x")
-			assert.Equal(t, resp.StatusCode, 200)
-			assert.Assert(t, !cut)
-			assert.Equal(t, body, event(1)+event(2)+event(3)+event(4)+event(5)+event(6))
-			assert.Equal(t, y.asked() > 0, tc.resumed)
-			assert.Assert(t, time.Since(begun) < 1700*time.Millisecond)
-		})
-	}
-}
-
-// drip writes a chunk of one byte now and then.
-func drip(w io.Writer, d time.Duration) {
-	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		chunk(w, "d")
-	}
-}
-
-// slowly writes events with pauses that are long but sound.
-func slowly(w io.Writer, from, to int) {
-	for n := from; n <= to; n++ {
-		time.Sleep(300 * time.Millisecond)
-		chunk(w, event(n))
-	}
-}
-
 func TestStreamsThatCannotGoOnAreCut(t *testing.T) {
 	breaks := func(w io.Writer, r *http.Request, _ int) bool {
 		streamHead(w, r)
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -6,8 +6,10 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"papayaspoke/core/coordination/balance"
@@ -57,7 +59,7 @@
 			continue
 		}
 		if errors.Is(rerr, io.EOF) && e.rest() == 0 {
-			return x.ended(a)
+			return x.finish(a)
 		}
 		a.Discard()
 		return x.broken(ctx, rerr)
@@ -76,7 +78,10 @@
 // complete no event do not count, and nothing is expected before the first one:
 // the request may wait for its turn. The function that it returns ends it.
 func (x *exchange) watch(a *client.Answer) (stop func()) {
-	x.stall = time.AfterFunc(time.Until(x.deadline), a.Discard)
+	x.stall = time.AfterFunc(time.Until(x.deadline), func() {
+		x.stalled.Store(true)
+		a.Discard()
+	})
 	return func() {
 		x.stall.Stop()
 		x.stall = nil
@@ -132,8 +137,8 @@
 	x.w.WriteHeader(a.Status())
 }
 
-// ended handles the regular end of a stream.
-func (x *exchange) ended(a *client.Answer) (verdict, balance.Outcome, error) {
+// finish handles the regular end of a stream.
+func (x *exchange) finish(a *client.Answer) (verdict, balance.Outcome, error) {
 	_ = a.Body().Close()
 	x.head(a)
 	x.log("answered", nil)
@@ -148,10 +153,58 @@
 		}
 		return givenUp, balance.Neutral, result.New(result.TimedOut, "replica %s has not finished", x.replica)
 	}
-	v, ferr := x.failure(result.New(result.StreamCut, "replica %s: %w", x.replica, err))
+	by := x.endedBy(err)
+	x.ended = append(x.ended, by)
+	x.g.Log.Info("stream ended early", "request", x.r.ID, "replica", x.replica, "by", by.String(), "last", x.last,
+		"silent", x.silent().Milliseconds(), "runs", x.runs, "error", err.Error())
+	v, ferr := x.failure(result.New(result.StreamCut, "replica %s: ended by %s: %w", x.replica, by, err))
 	return v, balance.Faulty, ferr
 }
 
+// EndedBy tells who ended a stream before its last event.
+type EndedBy uint8
+
+const (
+	// ByReplica streams end with their connection, closed in order.
+	ByReplica EndedBy = iota + 1
+	// ByReset streams end with a connection that was reset.
+	ByReset
+	// BySilence streams end with a connection whose other end answers nothing.
+	BySilence
+	// ByGateway streams were given up here, since no events came.
+	ByGateway
+	// ByContent streams brought what is no continuation or no event.
+	ByContent
+)
+
+var endedByNames = [...]string{"", "replica", "reset", "silence", "gateway", "content"}
+
+// String returns a word for logs and metrics.
+func (e EndedBy) String() string { return endedByNames[e] }
+
+// endedBy tells who ended the stream that failed with err.
+func (x *exchange) endedBy(err error) EndedBy {
+	switch {
+	case x.stalled.Load():
+		return ByGateway
+	case errors.Is(err, errNotNext), errors.Is(err, errTooLarge):
+		return ByContent
+	case errors.Is(err, syscall.ECONNRESET):
+		return ByReset
+	case errors.Is(err, syscall.ETIMEDOUT), errors.Is(err, os.ErrDeadlineExceeded):
+		return BySilence
+	}
+	return ByReplica
+}
+
+// silent is how long the client has had no event.
+func (x *exchange) silent() time.Duration {
+	if x.pieceAt.IsZero() {
+		return x.g.Clock().Sub(x.r.Arrival)
+	}
+	return x.g.Clock().Sub(x.pieceAt)
+}
+
 // events finds whole events in a stream and checks their numbers.
 type events struct {
 	// pending is the part of an event that has arrived.
@@ -162,7 +215,10 @@
 	resumed bool
 }
 
-var errNotNext = errors.New("the replica did not go on with the next event")
+var (
+	errNotNext  = errors.New("the replica did not go on with the next event")
+	errTooLarge = errors.New("an event is too large")
+)
 
 // add takes in bytes and returns the events that are whole now. What it
 // returns is valid until the next call.
@@ -171,7 +227,7 @@
 	end := bytes.LastIndex(e.pending, eventEnd)
 	if end < 0 {
 		if len(e.pending) > maxEvent {
-			return nil, errors.New("an event is too large")
+			return nil, errTooLarge
 		}
 		return nil, nil
 	}
--- /dev/null
+++ b/io/gateway/stream_test.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr/funcr"
+	"gotest.tools/v3/assert"
+	"papayaspoke/core/coordination/balance"
+	"papayaspoke/core/ident"
+)
+
+// TestStalledStreamGoesOnElsewhere answers replicas that go dark, or send a byte
+// now and then that completes no event, in the middle of a stream: where it may
+// be resumed it goes on at another replica before the client gives up. A stream
+// that is only slow is left alone.
+func TestStalledStreamGoesOnElsewhere(t *testing.T) {
+	cases := map[string]struct {
+		stall   func(w io.Writer)
+		resumed bool
+	}{
+		"dark":                  {func(io.Writer) { time.Sleep(1800 * time.Millisecond) }, true},
+		"a byte now and then":   {func(w io.Writer) { drip(w, 1800*time.Millisecond) }, true},
+		"slow, but events come": {func(w io.Writer) { slowly(w, 3, 6) }, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			x := newReplica(t, "x", func(w io.Writer, r *http.Request, _ int) bool {
+				streamHead(w, r)
+				chunk(w, event(1)+event(2))
+				tc.stall(w)
+				_, _ = io.WriteString(w, "0\r\n\r\n")
+				return true
+			})
+			y := newReplica(t, "y", func(w io.Writer, r *http.Request, _ int) bool {
+				streamHead(w, r)
+				for n := 3; n <= 6; n++ {
+					chunk(w, event(n))
+				}
+				_, _ = io.WriteString(w, "0\r\n\r\n")
+				return true
+			})
+			s := newSetup(t, plenty, nil, x, y)
+			s.askFirst(t, "x", []*replica{x, y})
+			begun := time.Now()
+			resp, body, cut := s.ask(t, http.MethodPost, "/resume/x")
+			assert.Equal(t, resp.StatusCode, 200)
+			assert.Assert(t, !cut)
+			assert.Equal(t, body, event(1)+event(2)+event(3)+event(4)+event(5)+event(6))
+			assert.Equal(t, y.asked() > 0, tc.resumed)
+			assert.Assert(t, time.Since(begun) < 1700*time.Millisecond)
+		})
+	}
+}
+
+// drip writes a chunk of one byte now and then.
+func drip(w io.Writer, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		chunk(w, "d")
+	}
+}
+
+// slowly writes events with pauses that are long but sound.
+func slowly(w io.Writer, from, to int) {
+	for n := from; n <= to; n++ {
+		time.Sleep(300 * time.Millisecond)
+		chunk(w, event(n))
+	}
+}
+
+// askFirst makes name the replica that the next request goes to.
+func (s *setup) askFirst(t *testing.T, name ident.Upstream, rs []*replica) {
+	t.Helper()
+	for _, r := range rs {
+		if r.name == name {
+			continue
+		}
+		_, m, _ := s.balancer.Pick(time.Now(), balance.Query{Service: "s", Exclude: []ident.Upstream{name}})
+		assert.Equal(t, m, balance.Found)
+	}
+}
+
+// TestEndOfStreamIsTold breaks streams in several ways: the log names who ended
+// each.
+func TestEndOfStreamIsTold(t *testing.T) {
+	cases := map[string]struct {
+		end  func(w io.Writer)
+		told EndedBy
+	}{
+		"closed":    {func(io.Writer) {}, ByReplica},
+		"reset":     {func(w io.Writer) { _ = w.(*net.TCPConn).SetLinger(0) }, ByReset},
+		"too large": {func(w io.Writer) { chunk(w, strings.Repeat("x", maxEvent+1)) }, ByContent},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			x := newReplica(t, "x", func(w io.Writer, r *http.Request, _ int) bool {
+				streamHead(w, r)
+				chunk(w, event(1)+event(2))
+				time.Sleep(50 * time.Millisecond)
+				tc.end(w)
+				return false
+			})
+			s := newSetup(t, plenty, nil, x)
+			lines := make(chan string, 16)
+			s.Log = funcr.New(func(_, line string) { lines <- line }, funcr.Options{})
+			_, _, cut := s.ask(t, http.MethodPost, "/stream/x")
+			assert.Assert(t, cut)
+			for {
+				line := <-lines
+				if !strings.Contains(line, `"stream ended early"`) {
+					continue
+				}
+				assert.Assert(t, strings.Contains(line, fmt.Sprintf(`"by"=%q`, tc.told)), line)
+				assert.Assert(t, strings.Contains(line, `"last"="2"`), line)
+				return
+			}
+		})
+	}
+}
