--- a/io/gateway/stream_test.go
+++ b/io/gateway/stream_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 	"papayaspoke/core/coordination/balance"
 	"papayaspoke/core/ident"
+	"papayaspoke/core/routes"
 )
 
 // TestStalledStreamGoesOnElsewhere answers replicas that go dark, or send a byte
@@ -74,6 +75,49 @@
 	}
 }
 
+// generation has the limits of a route whose clients wait four seconds for the
+// next event.
+var generation = routes.Route{Timeout: 8 * time.Second, Target: time.Second, Pause: 300 * time.Millisecond, Attempts: 2}
+
+// Guards against cutting an answer because its replica had put the request back
+// for a while: silence says nothing of whether the stream goes on.
+func TestPausedStreamIsNotCut(t *testing.T) {
+	full := func(w io.Writer, r *http.Request, _ int) bool { say(w, r, 503, notRun+": 1\r\n", ""); return true }
+	absent := func(w io.Writer, r *http.Request, _ int) bool { say(w, r, 421, "", ""); return true }
+	cases := map[string]struct {
+		pause     time.Duration
+		allowance balance.Allowance
+		second    func(w io.Writer, r *http.Request, n int) bool
+	}{
+		"no other replica":              {3 * time.Second, plenty, nil},
+		"the other one is full":         {1500 * time.Millisecond, plenty, full},
+		"the other one lacks it":        {3 * time.Second, plenty, absent},
+		"no repeat is allowed":          {3 * time.Second, balance.Allowance{Window: time.Minute}, fine},
+		"the other one has broken down": {3 * time.Second, plenty, func(io.Writer, *http.Request, int) bool { return false }},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			rs := []*replica{newReplica(t, "x", func(w io.Writer, r *http.Request, _ int) bool {
+				streamHead(w, r)
+				chunk(w, event(1)+event(2))
+				time.Sleep(tc.pause)
+				chunk(w, event(3))
+				chunk(w, "")
+				return true
+			})}
+			if tc.second != nil {
+				rs = append(rs, newReplica(t, "y", tc.second))
+			}
+			s := newSetupOf(t, generation, tc.allowance, nil, rs...)
+			s.askFirst(t, "x", rs)
+			_, body, cut := s.ask(t, http.MethodPost, "/resume/x")
+			assert.Assert(t, !cut)
+			assert.Equal(t, body, event(1)+event(2)+event(3))
+		})
+	}
+}
+
 // askFirst makes name the replica that the next request goes to.
 func (s *setup) askFirst(t *testing.T, name ident.Upstream, rs []*replica) {
 	t.Helper()
