Streams that their replica has put back are no longer cut

Cause: the watch over streams that may be resumed took four allowed pauses without an event for a stall and closed the connection. It was closed before anyone knew whether another replica could go on, so without one, without an allowance or with a refusal there, the answer was lost. The class of fault: silence taken for failure, and what one has given up before what follows is in hand.

Change: a silent stream is looked at after half of the time that clients wait for the next event. It is given up only if another replica holds what is needed and has a free place, a repeat could be taken from the allowance, and the replica either sends bytes that complete no event or gives no sign of life over a new connection within 0.4 s. Everything else is left alone until the client's own limit. A stream that has begun is no longer refused by a gate, and waits for a load as long as its client waits for an event, not until three targets after its arrival.

Events were searched for in all that had arrived of them at each read; now only in what is new (TestEndOfStreamIsTold took 7 s under the race detector with an event of 1 MB).

--- a/core/coordination/balance/balance.go
+++ b/core/coordination/balance/balance.go
@@ -336,6 +336,21 @@
 	}, Found, time.Time{}
 }
 
+// Ready reports whether a replica could take the request now: one that is not
+// left out, holds what is needed and has a free place as far as is known.
+func (b *Balancer) Ready(now time.Time, q Query) bool {
+	for _, name := range b.services[q.Service] {
+		p := b.peers[name]
+		if p.Leaving || slices.Contains(q.Exclude, name) || p.out(now) || p.own+p.others >= p.Slots {
+			continue
+		}
+		if m, _ := p.holds(now, q); m == Found {
+			return true
+		}
+	}
+	return false
+}
+
 // out reports whether the replica is left out for now.
 func (p *peer) out(now time.Time) bool { return p.shunned || now.Before(p.ejectedUntil) }
 
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 	"papayaspoke/core/coordination/appoint"
+	"papayaspoke/core/coordination/balance"
 	"papayaspoke/core/coordination/membership"
 	"papayaspoke/core/coordination/placement"
 	"papayaspoke/core/ident"
@@ -37,6 +38,8 @@
 	Routes func(document []byte) (*routes.Table, error)
 	// Order gives a replica an order.
 	Order func(ctx context.Context, c *client.Client, t Target, o placement.Order, holder ident.Daemon, fence ident.Fence) placement.Verdict
+	// Sign asks a replica for a sign of life over a new connection.
+	Sign func(ctx context.Context, c *client.Client, t Target) error
 	// Listing asks a replica what it holds.
 	Listing func(ctx context.Context, c *client.Client, t Target) (placement.Listing, error)
 }
@@ -66,6 +69,9 @@
 			DataCentre: d.dataCentre, Client: conns, Dialect: dialect.Gateway, Log: d.log,
 			Retries: d.settings.Platform().Retries(), Clock: d.clock, Observe: newRoutedMeter(d.metrics.Scope()).observe, Book: d.book,
 			Gather: d.settings.Platform().Gather(),
+			Answers: func(ctx context.Context, r balance.Replica) bool {
+				return dialect.Sign(ctx, conns, Target{Replica: r.Name, Incarnation: r.Incarnation, Address: r.Address}) == nil
+			},
 		}),
 	}
 }
--- a/io/gateway/acquire.go
+++ b/io/gateway/acquire.go
@@ -106,8 +106,15 @@
 	return b
 }
 
+// resumeShare is the part of a client's patience with a pause in which a stream
+// that broke off must have found a replica: the rest is for reading the prompt.
+const resumeShare = 0.6
+
 // patience returns until when the request may wait before it is sent.
 func (x *exchange) patience() time.Time {
+	if x.headSent {
+		return earlier(x.deadline, x.pieceAt.Add(time.Duration(resumeShare*float64(clientPatience(x.route)))))
+	}
 	end := x.r.Arrival.Add(time.Duration(waitShare * float64(x.deadline.Sub(x.r.Arrival))))
 	if x.route.Kind == routes.Stream && x.route.Target > 0 {
 		end = earlier(end, x.r.Arrival.Add(waitTargets*x.route.Target))
@@ -156,6 +163,9 @@
 // loadBy returns until when a load may begin for the request to be answered in
 // time.
 func (x *exchange) loadBy() time.Time {
+	if x.headSent {
+		return x.patience()
+	}
 	target := x.route.Target
 	if target <= 0 {
 		target = x.route.Timeout
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -9,7 +9,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"papayaspoke/core/coordination/balance"
@@ -62,15 +61,15 @@
 	// failed is the last failure after which the request may have run.
 	failed *result.Error
 
-	// stall fires when a stream that may be resumed has had no event for too
-	// long; nil while none is watched. stalled is true once it has fired.
-	stall   *time.Timer
-	stalled atomic.Bool
+	// prepaid is true if the next send was taken from the allowance already.
+	prepaid bool
 
 	// The rest is for logs and metrics.
 	code    result.Code
 	ended   []EndedBy
 	replica ident.Upstream
+	// at is the replica that the request was sent to last.
+	at      balance.Replica
 	firstAt time.Time
 	// pieceAt is when the last piece was passed on, gap the longest pause
 	// before one, and later counts the events after the first piece.
@@ -124,6 +123,10 @@
 	if x.runs > 0 && (!x.route.Repeatable() || x.runs >= max(x.route.Attempts, 1)) {
 		return false
 	}
+	if x.prepaid {
+		x.prepaid = false
+		return true
+	}
 	return x.sends == 0 || x.g.mayRepeat(x.service.Name)
 }
 
@@ -203,7 +206,7 @@
 		}
 		x.g.done(c, outcome, max(0, first.Sub(begun)-x.reading()))
 	}()
-	x.replica = c.Replica.Name
+	x.replica, x.at = c.Replica.Name, c.Replica
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if v, err := x.space(ctx, c); err != nil {
@@ -256,7 +259,7 @@
 func (x *exchange) turn(ctx context.Context, c balance.Choice) (pace.Turn, error) {
 	now := x.g.Clock()
 	by := x.patience()
-	if len(c.Others) > 0 && !slices.Contains(x.tried, c.Replica.Name) {
+	if len(c.Others) > 0 && !x.headSent && !slices.Contains(x.tried, c.Replica.Name) {
 		by = earlier(by, now.Add(time.Duration(elsewhereShare*float64(x.route.Target))))
 	}
 	t, ok := x.g.Book(ctx, c.Replica, pace.Prompt{
@@ -269,6 +272,10 @@
 	if t.Booked {
 		return t, nil
 	}
+	if x.headSent {
+		// An answer that has begun is worth more than even pauses of others.
+		return pace.Turn{}, nil
+	}
 	return t, result.New(result.Overloaded, "replica %s has prompts to read until %s later", c.Replica.Name, t.At.Sub(now)).WithRetryAfter(t.At)
 }
 
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -90,6 +90,8 @@
 	// Book books the reading of a prompt at a replica and returns when to send
 	// it; ok is false if nobody could be asked in time.
 	Book func(ctx context.Context, r balance.Replica, p pace.Prompt) (t pace.Turn, ok bool)
+	// Answers asks a replica for a sign of life over a new connection.
+	Answers func(ctx context.Context, r balance.Replica) bool
 	// Observe is told of every finished request.
 	Observe func(o Observation)
 }
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -169,7 +169,8 @@
 	g := New(Config{
 		DataCentre: "here", Client: client.NewForReplicas(netip.Addr{}), Dialect: dialect, Log: logr.Discard(),
 		Retries: allowance, Clock: time.Now, Observe: func(Observation) {},
-		Book: func(context.Context, balance.Replica, pace.Prompt) (pace.Turn, bool) { return pace.Turn{}, false },
+		Book:    func(context.Context, balance.Replica, pace.Prompt) (pace.Turn, bool) { return pace.Turn{}, false },
+		Answers: func(context.Context, balance.Replica) bool { return false },
 	})
 	g.SetTable(table)
 	var all []balance.Replica
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -34,10 +34,8 @@
 // relay passes a stream of events on. Only whole events are passed on.
 func (x *exchange) relay(ctx context.Context, a *client.Answer) (verdict, balance.Outcome, error) {
 	e := events{last: x.last, resumed: x.headSent}
-	if x.route.Resumable && x.runs < x.route.Attempts {
-		stop := x.watch(a)
-		defer stop()
-	}
+	w := x.watch(ctx, a)
+	defer w.stop()
 	buf := make([]byte, readSize)
 	for {
 		n, rerr := a.Body().Read(buf)
@@ -47,6 +45,7 @@
 				a.Discard()
 				return x.broken(ctx, err)
 			}
+			w.arrived(len(whole) > 0)
 			if len(whole) > 0 {
 				if werr := x.pass(a, whole); werr != nil {
 					a.Discard()
@@ -58,36 +57,18 @@
 		if rerr == nil {
 			continue
 		}
+		w.stop()
 		if errors.Is(rerr, io.EOF) && e.rest() == 0 {
 			return x.finish(a)
 		}
 		a.Discard()
+		if err := w.verdict(); err != nil {
+			rerr = err
+		}
 		return x.broken(ctx, rerr)
 	}
 }
 
-const (
-	// stallPauses and stallLeast bound how long a stream that may be resumed
-	// goes without a whole event, in allowed pauses and at least: half of what
-	// clients wait for before they give a stream up.
-	stallPauses = 4
-	stallLeast  = time.Second
-)
-
-// watch closes the connection of an answer whose events have stopped. Bytes that
-// complete no event do not count, and nothing is expected before the first one:
-// the request may wait for its turn. The function that it returns ends it.
-func (x *exchange) watch(a *client.Answer) (stop func()) {
-	x.stall = time.AfterFunc(time.Until(x.deadline), func() {
-		x.stalled.Store(true)
-		a.Discard()
-	})
-	return func() {
-		x.stall.Stop()
-		x.stall = nil
-	}
-}
-
 // pass writes whole events to the client, after the head of the first answer.
 func (x *exchange) pass(a *client.Answer, whole []byte) error {
 	x.head(a)
@@ -101,9 +82,6 @@
 		return err
 	}
 	x.flush(now)
-	if x.stall != nil {
-		x.stall.Reset(max(stallLeast, stallPauses*x.route.Pause))
-	}
 	return nil
 }
 
@@ -158,6 +136,9 @@
 	x.g.Log.Info("stream ended early", "request", x.r.ID, "replica", x.replica, "by", by.String(), "last", x.last,
 		"silent", x.silent().Milliseconds(), "runs", x.runs, "error", err.Error())
 	v, ferr := x.failure(result.New(result.StreamCut, "replica %s: ended by %s: %w", x.replica, by, err))
+	if by == BySilence || errors.Is(err, errDark) {
+		return v, balance.Unreachable, ferr
+	}
 	return v, balance.Faulty, ferr
 }
 
@@ -185,7 +166,7 @@
 // endedBy tells who ended the stream that failed with err.
 func (x *exchange) endedBy(err error) EndedBy {
 	switch {
-	case x.stalled.Load():
+	case errors.Is(err, errDark), errors.Is(err, errDrips):
 		return ByGateway
 	case errors.Is(err, errNotNext), errors.Is(err, errTooLarge):
 		return ByContent
@@ -223,16 +204,18 @@
 // add takes in bytes and returns the events that are whole now. What it
 // returns is valid until the next call.
 func (e *events) add(b []byte) ([]byte, error) {
+	searched := max(0, len(e.pending)-len(eventEnd)+1)
 	e.pending = append(e.pending, b...)
-	end := bytes.LastIndex(e.pending, eventEnd)
+	end := bytes.LastIndex(e.pending[searched:], eventEnd)
 	if end < 0 {
 		if len(e.pending) > maxEvent {
 			return nil, errTooLarge
 		}
 		return nil, nil
 	}
-	whole := bytes.Clone(e.pending[:end+2])
-	e.pending = append(e.pending[:0], e.pending[end+2:]...)
+	end += searched + len(eventEnd)
+	whole := bytes.Clone(e.pending[:end])
+	e.pending = append(e.pending[:0], e.pending[end:]...)
 	for event := range bytes.SplitSeq(whole, eventEnd) {
 		id, ok := idOf(event)
 		if !ok {
--- a/io/gateway/stream_test.go
+++ b/io/gateway/stream_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -85,15 +86,17 @@
 	full := func(w io.Writer, r *http.Request, _ int) bool { say(w, r, 503, notRun+": 1\r\n", ""); return true }
 	absent := func(w io.Writer, r *http.Request, _ int) bool { say(w, r, 421, "", ""); return true }
 	cases := map[string]struct {
-		pause     time.Duration
+		pause time.Duration
+		// answers is what the replica does when asked for a sign of life.
+		answers   bool
 		allowance balance.Allowance
 		second    func(w io.Writer, r *http.Request, n int) bool
 	}{
-		"no other replica":              {3 * time.Second, plenty, nil},
-		"the other one is full":         {1500 * time.Millisecond, plenty, full},
-		"the other one lacks it":        {3 * time.Second, plenty, absent},
-		"no repeat is allowed":          {3 * time.Second, balance.Allowance{Window: time.Minute}, fine},
-		"the other one has broken down": {3 * time.Second, plenty, func(io.Writer, *http.Request, int) bool { return false }},
+		"no other replica":              {3 * time.Second, false, plenty, nil},
+		"the other one is full":         {1500 * time.Millisecond, false, plenty, full},
+		"the other one lacks it":        {3 * time.Second, true, plenty, absent},
+		"no repeat is allowed":          {3 * time.Second, false, balance.Allowance{Window: time.Minute}, fine},
+		"the other one has broken down": {3 * time.Second, true, plenty, func(io.Writer, *http.Request, int) bool { return false }},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -110,6 +113,7 @@
 				rs = append(rs, newReplica(t, "y", tc.second))
 			}
 			s := newSetupOf(t, generation, tc.allowance, nil, rs...)
+			s.Answers = func(context.Context, balance.Replica) bool { return tc.answers }
 			s.askFirst(t, "x", rs)
 			_, body, cut := s.ask(t, http.MethodPost, "/resume/x")
 			assert.Assert(t, !cut)
@@ -156,7 +160,7 @@
 			_, _, cut := s.ask(t, http.MethodPost, "/stream/x")
 			assert.Assert(t, cut)
 			for {
-				line := <-lines
+				line := waitLine(t, lines)
 				if !strings.Contains(line, `"stream ended early"`) {
 					continue
 				}
@@ -167,3 +171,14 @@
 		})
 	}
 }
+
+func waitLine(t *testing.T, lines <-chan string) string {
+	t.Helper()
+	select {
+	case line := <-lines:
+		return line
+	case <-time.After(5 * time.Second):
+		t.Fatal("no such line")
+		return ""
+	}
+}
