Test: followers of a large fleet learn a document beside a cut of the core

There a majority of eleven witnesses had to answer each daemon, most of them VMs without a disk and with 0.192 of a core; since only daemons with a disk are witnesses and the others poll two of them in turn. That was changed for its cost; nothing guarded what it did for documents. The test holds on the present code and fails without the turn and without asking the rest (two of the core dark).

--- a/core/coordination/witness/cluster_test.go
+++ b/core/coordination/witness/cluster_test.go
@@ -64,6 +64,8 @@
 	replying packet
 	// lose tells which packets are lost; nil for none.
 	lose func(packet) bool
+	// follows tells which daemons are content to follow; nil for none.
+	follows func(ident.Daemon) bool
 }
 
 type acceptance struct {
@@ -71,13 +73,17 @@
 	index uint64
 }
 
-func newCluster(t fataler, n int) *cluster {
+func newCluster(t fataler, n int) *cluster { return newClusterOf(t, n, nil) }
+
+// newClusterOf is newCluster with daemons that follow.
+func newClusterOf(t fataler, n int, follows func(ident.Daemon) bool) *cluster {
 	c := &cluster{
-		t: t, now: time.Unix(1_000_000, 0), rand: rand.New(rand.NewPCG(1, 2)),
+		follows: follows,
+		t:       t, now: time.Unix(1_000_000, 0), rand: rand.New(rand.NewPCG(1, 2)),
 		nodes: map[ident.Daemon]*node{},
 	}
 	for i := range n {
-		c.names = append(c.names, ident.Daemon(fmt.Sprintf("d%02d", i)))
+		c.names = append(c.names, daemonName(i))
 	}
 	for _, d := range c.names {
 		c.start(d)
@@ -85,12 +91,15 @@
 	return c
 }
 
+func daemonName(i int) ident.Daemon { return ident.Daemon(fmt.Sprintf("d%02d", i)) }
+
 // start begins a new run of d, with an empty memory.
 func (c *cluster) start(d ident.Daemon) *node {
 	c.now = c.now.Add(time.Millisecond)
 	n := &node{name: d}
 	n.w = witness.New(c.now, witness.Config{
 		Self: d, Incarnation: ident.Incarnation(c.now.UnixMilli()) << 16, Rand: c.rand,
+		Follows: c.follows != nil && c.follows(d),
 	})
 	c.nodes[d] = n
 	c.step(n, witness.Peers{Daemons: c.names})
