--- a/io/gateway/stall.go
+++ b/io/gateway/stall.go
@@ -48,6 +48,10 @@
 type stall struct {
 	x *exchange
 	a *client.Answer
+	// at is the replica, and elsewhere what another one must have. They are
+	// copies: the exchange goes on while the last look still runs.
+	at        balance.Replica
+	elsewhere balance.Query
 
 	mu sync.Mutex
 	// timer fires when the stream is looked at next; nil until the first event.
@@ -64,7 +68,9 @@
 
 // watch looks after the stream of an answer until it is stopped.
 func (x *exchange) watch(ctx context.Context, a *client.Answer) *stall {
-	s := &stall{x: x, a: a}
+	s := &stall{x: x, a: a, at: x.at, elsewhere: balance.Query{
+		Service: x.service.Name, Weights: x.r.Weights, Version: x.version, Exclude: append(slices.Clone(x.tried), x.replica),
+	}}
 	if !x.route.Resumable || x.runs >= x.route.Attempts || x.sends >= maxSends {
 		s.ended = true
 		return s
@@ -117,14 +123,14 @@
 func (s *stall) look(ctx context.Context) {
 	events, drips := s.seen()
 	cause := errNoOther
-	if s.x.g.ready(s.x) {
+	if s.x.g.ready(s.elsewhere, s.x.deadline) {
 		cause = errDrips
 		if !drips {
 			cause = s.sign(ctx)
 		}
 	}
 	over := (errors.Is(cause, errDrips) || errors.Is(cause, errDark)) && s.giveUp(events, cause)
-	s.x.g.Log.Info("stream silent", "request", s.x.r.ID, "replica", s.x.replica, "over", over, "cause", cause.Error())
+	s.x.g.Log.Info("stream silent", "request", s.x.r.ID, "replica", s.at.Name, "over", over, "cause", cause.Error())
 	if !over {
 		s.again(events)
 	}
@@ -134,7 +140,7 @@
 func (s *stall) sign(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, signTimeout)
 	defer cancel()
-	if s.x.g.Answers(ctx, s.x.at) {
+	if s.x.g.Answers(ctx, s.at) {
 		return errSound
 	}
 	return errDark
@@ -162,14 +168,13 @@
 	return true
 }
 
-// ready reports whether another replica could go on with the request now.
-func (g *Gateway) ready(x *exchange) bool {
-	if x.deadline.Sub(g.Clock()) < minLeft {
+// ready reports whether a replica could take a request now that ends at a deadline.
+func (g *Gateway) ready(q balance.Query, deadline time.Time) bool {
+	now := g.Clock()
+	if deadline.Sub(now) < minLeft {
 		return false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.balancer.Ready(g.Clock(), balance.Query{
-		Service: x.service.Name, Weights: x.r.Weights, Version: x.version, Exclude: append(slices.Clone(x.tried), x.replica),
-	})
+	return g.balancer.Ready(now, q)
 }
