A replica that leaves while a request waits for its turn there is not used

A request chooses its replica and may then wait for more than a second for its turn to have its prompt read; what the replica said in that time was not looked at before sending. Together with the time that the word needs to reach the daemon this can exceed the 2.5 s that operators allow.

TestReplicaThatLeavesDuringTheWaitIsNotUsed fails without the check (the replica was asked once).

--- a/core/coordination/balance/balance.go
+++ b/core/coordination/balance/balance.go
@@ -351,6 +351,12 @@
 	return false
 }
 
+// Takes reports whether the replica of a choice still takes requests.
+func (b *Balancer) Takes(c Choice) bool {
+	p := b.peers[c.Replica.Name]
+	return p != nil && p.Incarnation == c.Replica.Incarnation && !p.Leaving
+}
+
 // out reports whether the replica is left out for now.
 func (p *peer) out(now time.Time) bool { return p.shunned || now.Before(p.ejectedUntil) }
 
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -212,6 +212,9 @@
 	if v, err := x.space(ctx, c); err != nil {
 		return v, err
 	}
+	if !x.g.takes(c) {
+		return again, result.New(result.NoUpstream, "replica %s left while the request waited for its turn", c.Replica.Name).WithRetryAfter(x.g.Clock())
+	}
 	begun = x.g.Clock()
 	x.logChoice(c, begun)
 	a, err := x.g.Client.Send(ctx, x.outgoing(c, begun))
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -373,6 +373,13 @@
 	return g.retries[s].Take(g.Clock(), g.daemons)
 }
 
+// takes reports whether the replica of a choice still takes requests.
+func (g *Gateway) takes(c balance.Choice) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.balancer.Takes(c)
+}
+
 func (g *Gateway) done(c balance.Choice, o balance.Outcome, took time.Duration) {
 	now := g.Clock()
 	g.mu.Lock()
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -183,6 +183,7 @@
 		g.Serve(r.Context(), w, Request{
 			ID: r.Header.Get(idHeader), Method: r.Method, Host: "h", Target: r.RequestURI, Path: r.URL.Path,
 			Header: r.Header.Clone(), Body: body, Arrival: time.Now(), LastEvent: r.Header.Get(lastHeader),
+			Tokens:  tokensOf(r),
 			Weights: placement.Weights{Model: ident.Model(r.Header.Get("Test-Model")), Adapter: r.Header.Get("Test-Adapter")},
 		})
 	}), server.Options{})
@@ -191,6 +192,11 @@
 	return &setup{Gateway: g, front: front}
 }
 
+func tokensOf(r *http.Request) int {
+	n, _ := strconv.Atoi(r.Header.Get("Test-Tokens"))
+	return n
+}
+
 // plenty allows any number of repeats.
 var plenty = balance.Allowance{Window: time.Second, Extra: 1000}
 
@@ -624,3 +630,24 @@
 		})
 	}
 }
+
+// Guards against requests that reach a replica long after it said that it leaves:
+// one that had been chosen before may wait more than a second for its turn there.
+func TestReplicaThatLeavesDuringTheWaitIsNotUsed(t *testing.T) {
+	x, y := newReplica(t, "x", fine), newReplica(t, "y", fine)
+	s := newSetup(t, balance.Allowance{Window: time.Minute}, &routes.Engine{Batch: 4, Places: 4}, x, y)
+	s.Book = func(_ context.Context, r balance.Replica, _ pace.Prompt) (pace.Turn, bool) {
+		if r.Name == "x" {
+			s.SetReplicas([]balance.Replica{
+				{Name: "x", Incarnation: 1, Service: "s", Address: x.addr, DataCentre: "here", Slots: 4, Leaving: true},
+				{Name: "y", Incarnation: 1, Service: "s", Address: y.addr, DataCentre: "here", Slots: 4},
+			}, 1)
+		}
+		return pace.Turn{At: time.Now().Add(100 * time.Millisecond), Booked: true}, true
+	}
+	s.askFirst(t, "x", []*replica{x, y})
+	resp, _, _ := s.ask(t, http.MethodPost, "/once/x", "Test-Tokens", "100")
+	assert.Equal(t, resp.StatusCode, 200)
+	assert.Equal(t, x.asked(), 0)
+	assert.Equal(t, y.asked(), 1)
+}
