--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TOOL := $(GO) tool -modfile=tools/go.mod
 GOFILES = $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$' | grep -v 'peerpbconnect/')
 
-.PHONY: check setup format vet lint test model demo measure measure-control capacity generate build regression fuzz
+.PHONY: check setup format vet lint test model demo measure measure-control capacity generate build regression fuzz soak
 
 check: setup format vet lint test model
 
@@ -45,6 +45,15 @@
 	for t in platform:FuzzReadConfig platform:FuzzAnnouncement platform:FuzzHeaders io/gateway:FuzzEvents io/protocol/peer:FuzzUsage io/protocol/peer:FuzzGossip io/settings:FuzzParse; do \
 	  $(GO) test -run '^$$' -fuzz "^$${t#*:}$$" -fuzztime $(FUZZTIME) ./$${t%%:*}; done
 
+# A run in CI has one seed and half a minute of faults; here SEEDS of SOAKTIME each.
+SEEDS ?= 50
+SOAKTIME ?= 60s
+soak:
+	$(GO) test -c -o bin/soak.test ./platform
+	cd platform && failed=""; for seed in $$(seq 1 $(SEEDS)); do \
+	  ../bin/soak.test -test.v -test.run '^TestSoak$$' -test.timeout 10m -soakseed $$seed -soakfor $(SOAKTIME) || failed="$$failed $$seed"; done; \
+	  [ -z "$$failed" ] || { echo "soak: failed with the seeds$$failed"; exit 1; }
+
 generate:
 	$(TOOL) buf generate
 
--- a/io/transport/relay/relay.go
+++ b/io/transport/relay/relay.go
@@ -5,7 +5,9 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
+	"time"
 )
 
 // Mode tells what happens to the bytes of a connection.
@@ -19,8 +21,15 @@
 	Drop
 	// Close closes both ends.
 	Close
+	// Mute throws away what comes from the target and passes on what goes there.
+	Mute
+	// Slow passes on what arrives slowAfter later.
+	Slow
 )
 
+// slowAfter is how long a slow connection holds back what it has read.
+const slowAfter = 100 * time.Millisecond
+
 // Relay passes connections on to one address.
 type Relay struct {
 	listener net.Listener
@@ -127,8 +136,8 @@
 		l.close()
 	}
 	var both sync.WaitGroup
-	both.Go(func() { l.copy(far, near) })
-	both.Go(func() { l.copy(near, far) })
+	both.Go(func() { l.copy(far, near, Drop) })
+	both.Go(func() { l.copy(near, far, Drop, Mute) })
 	both.Wait()
 	l.close()
 	r.mu.Lock()
@@ -156,13 +165,17 @@
 	_ = l.far.Close()
 }
 
-// copy passes bytes from src to dst while the mode is [Pass]. A connection
+// copy passes bytes from src to dst unless the mode is one of lost. A connection
 // that drops does not even pass on that the other end has closed.
-func (l *link) copy(dst, src net.Conn) {
+func (l *link) copy(dst, src net.Conn, lost ...Mode) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buf)
-		drops := l.current() == Drop
+		mode := l.current()
+		drops := slices.Contains(lost, mode)
+		if mode == Slow {
+			time.Sleep(slowAfter)
+		}
 		if n > 0 && !drops {
 			if _, werr := dst.Write(buf[:n]); werr != nil {
 				return
