Doors: no route is starved while a plain service has lost most of its replicas

Cause: three of four replicas of a plain service are taken away, and what is left can do less than half of what is asked. 83 daemons send to it without knowing of each other. Requests on new connections wait there for up to 0.2 s; those on kept connections are refused within one round trip whenever no slot is free, and none is. Bookings, which always travel on new connections, got half of what they asked for, all else 8 to 15 %, by whatever rank: the routes served least had the highest.

The class of fault: many senders with little traffic each share what none of them can see.

Change: a daemon that was refused by a replica of a plain service asks its door, which one daemon keeps, when to send. The door learns the rate from what is refused or answered a whole target later than the quickest, holds nobody for more than a quarter of the shortest target seen lately, and while it turns requests away turns every second of the less urgent away. What finds no room is refused at once. Gates and doors of replicas that are gone are now forgotten; gates were kept forever.

--- a/core/coordination/pace/pace.go
+++ b/core/coordination/pace/pace.go
@@ -184,33 +184,37 @@
 	return d
 }
 
-// Gates are those that one daemon keeps. They are not safe for concurrent use.
-type Gates struct {
-	gates map[ident.Upstream]*Gate
-}
+// keyed holds what one daemon keeps for each replica.
+type keyed[T any] struct{ all map[ident.Upstream]*T }
 
-// Book books at the gate of a replica.
-func (g *Gates) Book(now time.Time, name ident.Upstream, p Prompt) Turn {
-	if g.gates == nil {
-		g.gates = make(map[ident.Upstream]*Gate)
+// at returns what is kept for a replica.
+func (k *keyed[T]) at(name ident.Upstream) *T {
+	if k.all == nil {
+		k.all = make(map[ident.Upstream]*T)
 	}
-	at := g.gates[name]
-	if at == nil {
-		at = &Gate{}
-		g.gates[name] = at
+	if k.all[name] == nil {
+		k.all[name] = new(T)
 	}
-	return at.Book(now, p)
+	return k.all[name]
 }
 
-// Keep forgets the gates of replicas that are not in known.
-func (g *Gates) Keep(known func(name ident.Upstream) bool) {
-	for name := range g.gates {
+// Keep forgets replicas that are not known.
+func (k *keyed[T]) Keep(known func(name ident.Upstream) bool) {
+	for name := range k.all {
 		if !known(name) {
-			delete(g.gates, name)
+			delete(k.all, name)
 		}
 	}
 }
 
+// Gates are those that one daemon keeps. They are not safe for concurrent use.
+type Gates struct{ keyed[Gate] }
+
+// Book books at the gate of a replica.
+func (g *Gates) Book(now time.Time, name ident.Upstream, p Prompt) Turn {
+	return g.at(name).Book(now, p)
+}
+
 // Keeper is a daemon that may keep gates.
 type Keeper struct {
 	Name       ident.Daemon
--- a/io/daemon/booking.go
+++ b/io/daemon/booking.go
@@ -10,14 +10,23 @@
 	"papayaspoke/core/ident"
 )
 
-// bookTimeout bounds the question when to send a prompt. It is less than what
+// bookTimeout bounds the question when to send a request. It is less than what
 // two prompts at a time would cost.
 const bookTimeout = 60 * time.Millisecond
 
-// booking keeps the gates of the replicas that fall to this daemon.
+// booking keeps the gates and doors of the replicas that fall to this daemon.
 type booking struct {
 	mu    sync.Mutex
 	gates pace.Gates
+	doors pace.Doors
+}
+
+// keep forgets replicas that are not known.
+func (b *booking) keep(known func(name ident.Upstream) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.gates.Keep(known)
+	b.doors.Keep(known)
 }
 
 // bookHere books at a gate that this daemon keeps, or is believed to keep by
@@ -28,8 +37,37 @@
 	return d.booking.gates.Book(d.clock(), name, p)
 }
 
+// bookDoorHere books at a door that this daemon keeps, or is believed to keep by the
+// daemon that asks.
+func (d *Daemon) bookDoorHere(_ context.Context, name ident.Upstream, a pace.Arrival) pace.Turn {
+	d.booking.mu.Lock()
+	defer d.booking.mu.Unlock()
+	return d.booking.doors.Enter(d.clock(), name, a)
+}
+
 // book books at the gate of a replica, wherever it is kept.
 func (d *Daemon) book(ctx context.Context, r balance.Replica, p pace.Prompt) (pace.Turn, bool) {
+	return d.askKeeper(ctx, r, func(ctx context.Context, addr string) (pace.Turn, error) {
+		if addr == "" {
+			return d.bookHere(ctx, r.Name, p), nil
+		}
+		return d.peers.client.Book(ctx, addr, r.Name, p)
+	})
+}
+
+// bookDoor books at the door of a replica, wherever it is kept.
+func (d *Daemon) bookDoor(ctx context.Context, r balance.Replica, a pace.Arrival) (pace.Turn, bool) {
+	return d.askKeeper(ctx, r, func(ctx context.Context, addr string) (pace.Turn, error) {
+		if addr == "" {
+			return d.bookDoorHere(ctx, r.Name, a), nil
+		}
+		return d.peers.client.Enter(ctx, addr, r.Name, a)
+	})
+}
+
+// askKeeper calls ask with the address of the daemon that keeps gate and door of
+// a replica, which is empty for this one; ok is false without an answer.
+func (d *Daemon) askKeeper(ctx context.Context, r balance.Replica, ask func(ctx context.Context, addr string) (pace.Turn, error)) (t pace.Turn, ok bool) {
 	v := d.view.Load()
 	keepers := make([]pace.Keeper, 0, len(v.daemons))
 	for name, i := range v.daemons {
@@ -37,20 +75,18 @@
 			keepers = append(keepers, pace.Keeper{Name: name, DataCentre: i.dataCentre})
 		}
 	}
-	name := pace.KeeperOf(r.Name, r.DataCentre, keepers)
-	if name == d.self || name == "" {
-		return d.bookHere(ctx, r.Name, p), true
-	}
-	addr, ok := d.peerAddress(name)
-	if !ok {
-		return pace.Turn{}, false
+	name, addr := pace.KeeperOf(r.Name, r.DataCentre, keepers), ""
+	if name != d.self && name != "" {
+		if addr, ok = d.peerAddress(name); !ok {
+			return pace.Turn{}, false
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, bookTimeout)
 	defer cancel()
-	turn, err := d.peers.client.Book(ctx, addr, r.Name, p)
+	t, err := ask(ctx, addr)
 	if err != nil {
 		d.log.V(1).Info("no answer from the keeper of a gate", "keeper", name, "replica", r.Name, "error", err.Error())
 		return pace.Turn{}, false
 	}
-	return turn, true
+	return t, true
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -278,7 +278,7 @@
 	path, rpc := peer.NewHandler(peer.Service{
 		Consensus: d.consensusReceived, Witness: d.witnessAsked, Gossip: d.gossiped,
 		Propose: d.proposed, Permits: d.permitsAsked,
-		ReadIndex: d.indexRead, Usage: d.usageTold, Book: d.bookHere,
+		ReadIndex: d.indexRead, Usage: d.usageTold, Book: d.bookHere, Enter: d.bookDoorHere,
 	}, d.settings.Token())
 	passedOn := peer.WithToken(d.settings.Token(), &caller.Handler{
 		Infer: d.infer, Call: d.call, Addresses: d.addresses, Peer: true,
--- a/io/daemon/placer.go
+++ b/io/daemon/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"papayaspoke/core/coordination/appoint"
@@ -145,6 +146,9 @@
 		}
 	}
 	c.platform.gateway.SetReplicas(rs, len(c.daemons))
+	c.platform.d.booking.keep(func(name ident.Upstream) bool {
+		return slices.ContainsFunc(rs, func(r balance.Replica) bool { return r.Name == name })
+	})
 	if p := c.placing.placer; p != nil {
 		c.carryOrders(p.SetReplicas(now, ps))
 	}
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -67,7 +67,7 @@
 		d: d, dialect: dialect, replicas: conns,
 		gateway: gateway.New(gateway.Config{
 			DataCentre: d.dataCentre, Client: conns, Dialect: dialect.Gateway, Log: d.log,
-			Retries: d.settings.Platform().Retries(), Clock: d.clock, Observe: newRoutedMeter(d.metrics.Scope()).observe, Book: d.book,
+			Retries: d.settings.Platform().Retries(), Clock: d.clock, Observe: newRoutedMeter(d.metrics.Scope()).observe, Book: d.book, Enter: d.bookDoor,
 			Gather: d.settings.Platform().Gather(),
 			Answers: func(ctx context.Context, r balance.Replica) bool {
 				return dialect.Sign(ctx, conns, Target{Replica: r.Name, Incarnation: r.Incarnation, Address: r.Address}) == nil
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -54,6 +54,8 @@
 	// true if nothing else was read there around that turn.
 	spaced time.Duration
 	alone  bool
+	// entered is true if the door of the replica has let the request in.
+	entered bool
 	// headSent is true once the head of an answer was passed on.
 	headSent bool
 	// last is the number of the last event passed on, or what the client had.
@@ -204,7 +206,11 @@
 		if x.firstAt.After(begun) {
 			first = x.firstAt
 		}
-		x.g.done(c, outcome, max(0, first.Sub(begun)-x.reading()))
+		took := max(0, first.Sub(begun)-x.reading())
+		if x.service.Engine == nil && outcome == balance.Good {
+			x.answeredBy(c, took)
+		}
+		x.g.done(c, outcome, took)
 	}()
 	x.replica, x.at = c.Replica.Name, c.Replica
 	ctx, cancel := context.WithCancel(ctx)
@@ -286,7 +292,10 @@
 // too long another one may be tried, since nothing was sent.
 func (x *exchange) space(ctx context.Context, c balance.Choice) (verdict, error) {
 	x.alone = false
-	if x.service.Engine == nil || x.r.Tokens == 0 {
+	if x.service.Engine == nil {
+		return x.enter(ctx, c)
+	}
+	if x.r.Tokens == 0 {
 		return finished, nil
 	}
 	t, err := x.turn(ctx, c)
@@ -387,6 +396,8 @@
 	}
 	if h.Absent {
 		x.g.missed(x, c.Replica.Name)
+	} else if x.service.Engine == nil {
+		x.refusedBy(c)
 	}
 	return again, balance.Neutral, result.New(result.NoUpstream, "replica %s refused it with status %d", c.Replica.Name, a.Status()).WithRetryAfter(back)
 }
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -90,6 +90,9 @@
 	// Book books the reading of a prompt at a replica and returns when to send
 	// it; ok is false if nobody could be asked in time.
 	Book func(ctx context.Context, r balance.Replica, p pace.Prompt) (t pace.Turn, ok bool)
+	// Enter books a request at the door of a replica that refuses work and
+	// returns when to send it; ok is false if nobody could be asked in time.
+	Enter func(ctx context.Context, r balance.Replica, a pace.Arrival) (t pace.Turn, ok bool)
 	// Answers asks a replica for a sign of life over a new connection.
 	Answers func(ctx context.Context, r balance.Replica) bool
 	// Observe is told of every finished request.
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -170,6 +170,7 @@
 		DataCentre: "here", Client: client.NewForReplicas(netip.Addr{}), Dialect: dialect, Log: logr.Discard(),
 		Retries: allowance, Clock: time.Now, Observe: func(Observation) {},
 		Book:    func(context.Context, balance.Replica, pace.Prompt) (pace.Turn, bool) { return pace.Turn{}, false },
+		Enter:   func(context.Context, balance.Replica, pace.Arrival) (pace.Turn, bool) { return pace.Turn{}, false },
 		Answers: func(context.Context, balance.Replica) bool { return false },
 	})
 	g.SetTable(table)
@@ -631,6 +632,47 @@
 	}
 }
 
+// TestBusyReplicaIsEnteredByItsDoor asks a replica that has just refused a request
+// as too much: the next one is sent when the door says, refused at once if that is
+// too late, and sent at once if nobody keeps the door.
+func TestBusyReplicaIsEnteredByItsDoor(t *testing.T) {
+	cases := map[string]struct {
+		wait        time.Duration
+		booked, ok  bool
+		status      int
+		asked       int
+		least, most time.Duration
+	}{
+		"has room later":     {150 * time.Millisecond, true, true, 200, 2, 150 * time.Millisecond, 400 * time.Millisecond},
+		"has no room":        {time.Second, false, true, 429, 1, 0, 100 * time.Millisecond},
+		"nobody can be told": {0, false, false, 200, 2, 0, 100 * time.Millisecond},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			x := newReplica(t, "x", func(w io.Writer, r *http.Request, n int) bool {
+				if n == 1 {
+					say(w, r, 503, notRun+": 1\r\n", "")
+					return true
+				}
+				return fine(w, r, n)
+			})
+			s := newSetup(t, balance.Allowance{Window: time.Minute}, nil, x)
+			s.Enter = func(_ context.Context, r balance.Replica, a pace.Arrival) (pace.Turn, bool) {
+				assert.Equal(t, a.Slots, 4)
+				return pace.Turn{At: time.Now().Add(tc.wait), Booked: tc.booked}, tc.ok
+			}
+			resp, _, _ := s.ask(t, http.MethodGet, "/safe/x")
+			assert.Equal(t, resp.StatusCode, 503)
+			begun := time.Now()
+			resp, _, _ = s.ask(t, http.MethodGet, "/safe/x")
+			took := time.Since(begun)
+			assert.Equal(t, resp.StatusCode, tc.status)
+			assert.Equal(t, x.asked(), tc.asked)
+			assert.Assert(t, took >= tc.least && took < tc.most, "%s", took)
+		})
+	}
+}
+
 // Guards against requests that reach a replica long after it said that it leaves:
 // one that had been chosen before may wait more than a second for its turn there.
 func TestReplicaThatLeavesDuringTheWaitIsNotUsed(t *testing.T) {
--- a/io/protocol/peer/client.go
+++ b/io/protocol/peer/client.go
@@ -147,3 +147,16 @@
 		Booked: resp.Msg.GetBooked(), Alone: resp.Msg.GetAlone(),
 	}, nil
 }
+
+// Enter asks the daemon at addr when a request may be sent to a replica.
+func (c *Client) Enter(ctx context.Context, addr string, name ident.Upstream, a pace.Arrival) (pace.Turn, error) {
+	resp, err := c.peer(addr).Enter(ctx, connect.NewRequest(&peerpb.EnterRequest{
+		Replica: string(name), Slots: uint32(a.Slots), Rank: uint32(a.Rank), Pressed: uint32(a.Pressed), Within: millis(time.Until(a.By)),
+	}))
+	if err != nil {
+		return pace.Turn{}, err
+	}
+	return pace.Turn{
+		At: time.Now().Add(time.Duration(resp.Msg.GetWait()) * time.Millisecond), Booked: resp.Msg.GetEntered(),
+	}, nil
+}
--- a/io/protocol/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/io/protocol/peer/peerpb/peerpbconnect/peer.connect.go
@@ -49,6 +49,8 @@
 	PeerUsageProcedure = "/papayaspoke.peer.Peer/Usage"
 	// PeerBookProcedure is the fully-qualified name of the Peer's Book RPC.
 	PeerBookProcedure = "/papayaspoke.peer.Peer/Book"
+	// PeerEnterProcedure is the fully-qualified name of the Peer's Enter RPC.
+	PeerEnterProcedure = "/papayaspoke.peer.Peer/Enter"
 )
 
 // PeerClient is a client for the papayaspoke.peer.Peer service.
@@ -71,6 +73,8 @@
 	Usage(context.Context, *connect.Request[peerpb.UsageRequest]) (*connect.Response[peerpb.UsageResponse], error)
 	// Book asks the keeper of a replica's gate when a prompt may be sent there.
 	Book(context.Context, *connect.Request[peerpb.BookRequest]) (*connect.Response[peerpb.BookResponse], error)
+	// Enter asks the keeper of a replica's door when a request may be sent there.
+	Enter(context.Context, *connect.Request[peerpb.EnterRequest]) (*connect.Response[peerpb.EnterResponse], error)
 }
 
 // NewPeerClient constructs a client for the papayaspoke.peer.Peer service. By default, it uses the
@@ -132,6 +136,12 @@
 			connect.WithSchema(peerMethods.ByName("Book")),
 			connect.WithClientOptions(opts...),
 		),
+		enter: connect.NewClient[peerpb.EnterRequest, peerpb.EnterResponse](
+			httpClient,
+			baseURL+PeerEnterProcedure,
+			connect.WithSchema(peerMethods.ByName("Enter")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -145,6 +155,7 @@
 	readIndex *connect.Client[peerpb.ReadIndexRequest, peerpb.ReadIndexResponse]
 	usage     *connect.Client[peerpb.UsageRequest, peerpb.UsageResponse]
 	book      *connect.Client[peerpb.BookRequest, peerpb.BookResponse]
+	enter     *connect.Client[peerpb.EnterRequest, peerpb.EnterResponse]
 }
 
 // Consensus calls papayaspoke.peer.Peer.Consensus.
@@ -187,6 +198,11 @@
 	return c.book.CallUnary(ctx, req)
 }
 
+// Enter calls papayaspoke.peer.Peer.Enter.
+func (c *peerClient) Enter(ctx context.Context, req *connect.Request[peerpb.EnterRequest]) (*connect.Response[peerpb.EnterResponse], error) {
+	return c.enter.CallUnary(ctx, req)
+}
+
 // PeerHandler is an implementation of the papayaspoke.peer.Peer service.
 type PeerHandler interface {
 	// Consensus delivers a batch of messages of the replicated log.
@@ -207,6 +223,8 @@
 	Usage(context.Context, *connect.Request[peerpb.UsageRequest]) (*connect.Response[peerpb.UsageResponse], error)
 	// Book asks the keeper of a replica's gate when a prompt may be sent there.
 	Book(context.Context, *connect.Request[peerpb.BookRequest]) (*connect.Response[peerpb.BookResponse], error)
+	// Enter asks the keeper of a replica's door when a request may be sent there.
+	Enter(context.Context, *connect.Request[peerpb.EnterRequest]) (*connect.Response[peerpb.EnterResponse], error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -264,6 +282,12 @@
 		connect.WithSchema(peerMethods.ByName("Book")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerEnterHandler := connect.NewUnaryHandler(
+		PeerEnterProcedure,
+		svc.Enter,
+		connect.WithSchema(peerMethods.ByName("Enter")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/papayaspoke.peer.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerConsensusProcedure:
@@ -282,6 +306,8 @@
 			peerUsageHandler.ServeHTTP(w, r)
 		case PeerBookProcedure:
 			peerBookHandler.ServeHTTP(w, r)
+		case PeerEnterProcedure:
+			peerEnterHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -322,3 +348,7 @@
 func (UnimplementedPeerHandler) Book(context.Context, *connect.Request[peerpb.BookRequest]) (*connect.Response[peerpb.BookResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("papayaspoke.peer.Peer.Book is not implemented"))
 }
+
+func (UnimplementedPeerHandler) Enter(context.Context, *connect.Request[peerpb.EnterRequest]) (*connect.Response[peerpb.EnterResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("papayaspoke.peer.Peer.Enter is not implemented"))
+}
--- a/io/protocol/peer/service.go
+++ b/io/protocol/peer/service.go
@@ -50,6 +50,8 @@
 	ReadIndex func(ctx context.Context, from ident.Daemon) (index uint64, ok bool)
 	// Book books the reading of a prompt and returns when to send it.
 	Book func(ctx context.Context, name ident.Upstream, p pace.Prompt) pace.Turn
+	// Enter books a request at the door of a replica and returns when to send it.
+	Enter func(ctx context.Context, name ident.Upstream, a pace.Arrival) pace.Turn
 	// Usage answers a daemon's word to the placer; ok is false if this daemon
 	// is not the placer.
 	Usage func(ctx context.Context, u placement.Usage) (a placement.Answer, ok bool)
@@ -152,4 +154,13 @@
 	}), nil
 }
 
+func (h service) Enter(ctx context.Context, r *connect.Request[peerpb.EnterRequest]) (*connect.Response[peerpb.EnterResponse], error) {
+	m := r.Msg
+	turn := h.s.Enter(ctx, ident.Upstream(m.GetReplica()), pace.Arrival{
+		Slots: int(m.GetSlots()), Rank: int(m.GetRank()), Pressed: int(m.GetPressed()),
+		By: time.Now().Add(time.Duration(m.GetWithin()) * time.Millisecond),
+	})
+	return connect.NewResponse(&peerpb.EnterResponse{Wait: millis(time.Until(turn.At)), Entered: turn.Booked}), nil
+}
+
 func malformed(err error) error { return connect.NewError(connect.CodeInvalidArgument, err) }
