A replica that can't be reached is tried a few times, not without pause

Seen while reading why streams of crashed replicas did not go on: where the only replica of a service, or of an adapter, refuses connections, a request dialled it in a loop until its time was over: 17,091 tries in 2 s (TestDeadReplicaIsTriedAFewTimes on the code before).

Change: ten tries at most, 50 ms between two at the same replica; then the request is refused as not run with a time to come back.

--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -24,6 +24,11 @@
 	// maxSends bounds how often one request is sent, counting those that
 	// replicas refused.
 	maxSends = 4
+	// maxTries bounds how often a replica is chosen for one request, counting
+	// those that could not be reached or had no time, and againPause separates
+	// two tries at the same replica.
+	maxTries   = 10
+	againPause = 50 * time.Millisecond
 	// maxAnswer is the largest answer that is kept whole before it is passed
 	// on; larger ones are passed on as they come.
 	maxAnswer = 1 << 20
@@ -63,7 +68,8 @@
 	// failed is the last failure after which the request may have run.
 	failed *result.Error
 
-	// prepaid is true if the next send was taken from the allowance already.
+	// prepaid is true if the next send was taken from the allowance already: what
+	// reaches no replica uses nothing up.
 	prepaid bool
 
 	// The rest is for logs and metrics.
@@ -104,7 +110,10 @@
 			x.end(err)
 			return
 		}
-		v, err := x.attempt(ctx, c)
+		v, err := x.pauseAgain(ctx, c)
+		if err == nil {
+			v, err = x.attempt(ctx, c)
+		}
 		if v == finished {
 			return
 		}
@@ -117,9 +126,17 @@
 	}
 }
 
+// pauseAgain waits a moment before a replica that was tried is tried again.
+func (x *exchange) pauseAgain(ctx context.Context, c balance.Choice) (verdict, error) {
+	if !slices.Contains(x.tried, c.Replica.Name) {
+		return finished, nil
+	}
+	return x.pauseUntil(ctx, x.g.Clock().Add(againPause))
+}
+
 // mayGoOn reports whether another send is allowed.
 func (x *exchange) mayGoOn(ctx context.Context) bool {
-	if ctx.Err() != nil || x.deadline.Sub(x.g.Clock()) < minLeft || x.sends >= maxSends {
+	if ctx.Err() != nil || x.deadline.Sub(x.g.Clock()) < minLeft || x.sends >= maxSends || len(x.tried)+1 >= maxTries {
 		return false
 	}
 	if x.runs > 0 && (!x.route.Repeatable() || x.runs >= max(x.route.Attempts, 1)) {
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"gotest.tools/v3/assert"
 	"papayaspoke/core/coordination/balance"
 	"papayaspoke/core/coordination/pace"
@@ -693,3 +694,20 @@
 	assert.Equal(t, x.asked(), 0)
 	assert.Equal(t, y.asked(), 1)
 }
+
+// Guards against a busy loop of connections to a replica that can't be reached: the
+// request is refused after a few tries, long before its time is over.
+func TestDeadReplicaIsTriedAFewTimes(t *testing.T) {
+	s := newSetup(t, plenty, nil, &replica{name: "down", addr: "127.0.0.1:1"})
+	tries := 0
+	s.Log = funcr.New(func(_, line string) {
+		if strings.Contains(line, `"routed"`) {
+			tries++
+		}
+	}, funcr.Options{})
+	begun := time.Now()
+	resp, _, _ := s.ask(t, http.MethodPost, "/once/x")
+	assert.Equal(t, resp.Header.Get("Test-Code"), strconv.Itoa(int(result.NoUpstream)))
+	assert.Assert(t, tries > 1 && tries <= maxTries, "%d tries", tries)
+	assert.Assert(t, time.Since(begun) < time.Second)
+}
