Tries that reach no replica use nothing of the allowance of repeats

The allowance bounds what arrives at replicas.

Now a repeat that was taken stays taken until something was sent. TestUnreachableReplicasUseNoAllowance: cut before.

--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -142,11 +142,16 @@
 	if x.runs > 0 && (!x.route.Repeatable() || x.runs >= max(x.route.Attempts, 1)) {
 		return false
 	}
-	if x.prepaid {
-		x.prepaid = false
-		return true
+	if x.sends > 0 && !x.prepaid {
+		x.prepaid = x.g.mayRepeat(x.service.Name)
 	}
-	return x.sends == 0 || x.g.mayRepeat(x.service.Name)
+	return x.sends == 0 || x.prepaid
+}
+
+// sent counts a send that may have reached a replica.
+func (x *exchange) sent() {
+	x.sends++
+	x.prepaid = false
 }
 
 // end answers with an error, or cuts an answer that has begun.
@@ -246,7 +251,7 @@
 		v, outcome, err = x.unanswered(ctx, err)
 		return v, err
 	}
-	x.sends++
+	x.sent()
 	h := x.g.Dialect.Read(a.Status(), a.Header())
 	if h.ID != x.r.ID && (h.ID != "" || !h.NotRun) {
 		a.Discard()
@@ -364,7 +369,7 @@
 	var f *client.Failure
 	sent := !errors.As(err, &f) || f.Sent()
 	if sent {
-		x.sends++
+		x.sent()
 		x.runs++
 	}
 	if ctx.Err() != nil {
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -711,3 +711,26 @@
 	assert.Assert(t, tries > 1 && tries <= maxTries, "%d tries", tries)
 	assert.Assert(t, time.Since(begun) < time.Second)
 }
+
+// Guards against streams that are cut because tries that reached no replica had
+// used up the allowance of repeats.
+func TestUnreachableReplicasUseNoAllowance(t *testing.T) {
+	breaks := newReplica(t, "a", func(w io.Writer, r *http.Request, _ int) bool {
+		streamHead(w, r)
+		chunk(w, event(1))
+		return false
+	})
+	goesOn := newReplica(t, "z", func(w io.Writer, r *http.Request, _ int) bool {
+		streamHead(w, r)
+		chunk(w, event(2))
+		chunk(w, "")
+		return true
+	})
+	rs := []*replica{breaks, {name: "b", addr: "127.0.0.1:1"}, {name: "c", addr: "127.0.0.1:2"}, goesOn}
+	// One repeat is allowed; half of what is stated is used.
+	s := newSetup(t, balance.Allowance{Window: time.Minute, Extra: 2}, nil, rs...)
+	s.askFirst(t, "a", rs)
+	_, body, cut := s.ask(t, http.MethodPost, "/resume/x")
+	assert.Assert(t, !cut)
+	assert.Equal(t, body, event(1)+event(2))
+}
