Only tries whose connection failed count towards the bound of tries

A request for a popular adapter may ask the gates of many holders before one has time; ten of them in all would have refused requests that the eleventh could take.

--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -24,11 +24,10 @@
 	// maxSends bounds how often one request is sent, counting those that
 	// replicas refused.
 	maxSends = 4
-	// maxTries bounds how often a replica is chosen for one request, counting
-	// those that could not be reached or had no time, and againPause separates
-	// two tries at the same replica.
-	maxTries   = 10
-	againPause = 50 * time.Millisecond
+	// maxUnreached bounds how many tries of one request may reach no replica, and
+	// againPause separates two tries at the same one.
+	maxUnreached = 10
+	againPause   = 50 * time.Millisecond
 	// maxAnswer is the largest answer that is kept whole before it is passed
 	// on; larger ones are passed on as they come.
 	maxAnswer = 1 << 20
@@ -52,8 +51,9 @@
 	version uint64
 
 	tried []ident.Upstream
-	// sends counts what may have reached a replica, runs what may have run.
-	sends, runs int
+	// sends counts what may have reached a replica, runs what may have run, and
+	// unreached the tries whose connection failed.
+	sends, runs, unreached int
 	waited      balance.Miss
 	// spaced is how long the request waited for its turn at a replica; alone is
 	// true if nothing else was read there around that turn.
@@ -136,7 +136,7 @@
 
 // mayGoOn reports whether another send is allowed.
 func (x *exchange) mayGoOn(ctx context.Context) bool {
-	if ctx.Err() != nil || x.deadline.Sub(x.g.Clock()) < minLeft || x.sends >= maxSends || len(x.tried)+1 >= maxTries {
+	if ctx.Err() != nil || x.deadline.Sub(x.g.Clock()) < minLeft || x.sends >= maxSends || x.unreached >= maxUnreached {
 		return false
 	}
 	if x.runs > 0 && (!x.route.Repeatable() || x.runs >= max(x.route.Attempts, 1)) {
@@ -383,6 +383,7 @@
 		return givenUp, balance.Faulty, x.failed
 	}
 	if !sent {
+		x.unreached++
 		return again, balance.Unreachable, result.New(result.NoUpstream, "replica %s: %w", x.replica, err).WithRetryAfter(x.g.Clock().Add(refusalPause))
 	}
 	v, ferr := x.failure(result.New(result.UpstreamFailed, "replica %s: %w", x.replica, err))
