--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -109,10 +109,7 @@
 			x.end(err)
 			return
 		}
-		v, err := x.pauseAgain(ctx, c)
-		if err == nil {
-			v, err = x.attempt(ctx, c)
-		}
+		v, err := x.attempt(ctx, c)
 		if v == finished {
 			return
 		}
@@ -236,6 +233,9 @@
 	x.replica, x.at = c.Replica.Name, c.Replica
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if v, err := x.pauseAgain(ctx, c); err != nil {
+		return v, err
+	}
 	if v, err := x.space(ctx, c); err != nil {
 		return v, err
 	}
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -734,3 +734,21 @@
 	assert.Assert(t, !cut)
 	assert.Equal(t, body, event(1)+event(2))
 }
+
+// Guards against requests that count as in flight forever at a replica because
+// their client left between two tries there.
+func TestClientGoneBetweenTriesIsNotCounted(t *testing.T) {
+	s := newSetup(t, plenty, nil, &replica{name: "down", addr: "127.0.0.1:1"})
+	for range 5 {
+		ctx, cancel := context.WithTimeout(context.Background(), 120*time.Millisecond)
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.front.Addr()+"/once/x", strings.NewReader("b"))
+		assert.NilError(t, err)
+		_, err = http.DefaultTransport.RoundTrip(req)
+		assert.Assert(t, err != nil)
+		cancel()
+	}
+	time.Sleep(700 * time.Millisecond)
+	for _, r := range s.Usage().Runs {
+		assert.Equal(t, r.Running, 0)
+	}
+}
