--- a/core/coordination/pace/doc.go
+++ b/core/coordination/pace/doc.go
@@ -1,4 +1,5 @@
-// Package pace spaces out the prompts that a replica has to read.
+// Package pace spaces out what is sent to a replica: the prompts that an engine
+// has to read, and the requests for a plain replica that refuses work.
 //
 // # Why
 //
@@ -18,6 +19,10 @@
 // speed: without an answer the request is sent at once, and two daemons that
 // both keep a gate only space less well.
 //
+// The [Door] of a replica of a plain service is kept by the same daemon. It is
+// asked only while the replica refuses requests, and learns the rate at which it
+// takes them.
+//
 // How fast engines read and step is not stated anywhere. Each daemon learns it
 // from the answers that pass through it, by a [Learner] a service, and sends it
 // along.
--- a/io/gateway/doc.go
+++ b/io/gateway/doc.go
@@ -19,7 +19,8 @@
 // Events are passed on whole, so that a stream can go on at another replica
 // after the last event that the client has: the new replica is told its number,
 // and must continue with the next one. A stream that can't go on is cut, never
-// ended.
+// ended. A silent stream is left alone unless its replica shows no sign of life
+// and another one is ready: replicas put requests back for seconds.
 //
 // The dialect of headers is not known here; see [Dialect].
 package gateway
