Log line and counter for requests in flight when a replica ends

Cause: when a replica ended, each daemon logged a cut stream or an EOF for each of its requests. That a process was gone, that a request had received nothing yet, and that it was the copy of another client attempt was not in the logs, so they could not tell a request that crashes replicas from one that happened to be in flight.

Change: after the connection of an unanswered request was closed, the daemon tries a new one. If that is refused, or another replica answers there, 'replica ended' names replica, incarnation and the key of the request (method, host, target, weights, body), which is the same for all its copies; ended_under counts. A send after such a failure waits for the check, 200 ms at most. Nothing is decided by it yet.

--- /dev/null
+++ b/core/coordination/blame/key.go
@@ -0,0 +1,43 @@
+package blame
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+
+	"papayaspoke/core/coordination/placement"
+	"papayaspoke/core/ident"
+)
+
+// Key identifies something that requests have in common, such as their path and
+// body, across client attempts and daemons.
+type Key uint64
+
+// String returns the key as logs show it.
+func (k Key) String() string { return fmt.Sprintf("%016x", uint64(k)) }
+
+// keyOf returns the key of a list of parts. The lengths are hashed too, so that
+// different lists never yield the same input.
+func keyOf(kind string, parts ...[]byte) Key {
+	h := sha256.New()
+	for _, p := range append([][]byte{[]byte(kind)}, parts...) {
+		var n [8]byte
+		binary.BigEndian.PutUint64(n[:], uint64(len(p)))
+		h.Write(n[:])
+		h.Write(p)
+	}
+	return Key(binary.BigEndian.Uint64(h.Sum(nil)))
+}
+
+// RequestKey returns the key of a request. It is the same for every copy of the
+// request, whichever client attempt and daemon it belongs to.
+func RequestKey(method, host, target string, w placement.Weights, body []byte) Key {
+	return keyOf("request", []byte(method), []byte(host), []byte(target), []byte(w.Model), []byte(w.Adapter), body)
+}
+
+// EndKey returns the key of the end of one incarnation of a replica.
+func EndKey(replica ident.Upstream, i ident.Incarnation) Key {
+	var n [8]byte
+	binary.BigEndian.PutUint64(n[:], uint64(i))
+	return keyOf("end", []byte(replica), n[:])
+}
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -38,7 +40,8 @@
 	Routes func(document []byte) (*routes.Table, error)
 	// Order sends an order to a replica.
 	Order func(ctx context.Context, c *client.Client, t Target, o placement.Order, holder ident.Daemon, fence ident.Fence) placement.Verdict
-	// Probe probes over a new connection whether a replica is alive.
+	// Probe probes over a new connection whether a replica is alive. If another
+	// replica answers at its address, the error has the code [result.Restarted].
 	Probe func(ctx context.Context, c *client.Client, t Target) error
 	// Listing asks a replica which weights it holds.
 	Listing func(ctx context.Context, c *client.Client, t Target) (placement.Listing, error)
@@ -70,12 +73,20 @@
 			RetryAllowance: d.settings.Platform().RetryAllowance(), Clock: d.clock, Observe: newRoutedMeter(d.metrics.Scope()).observe, ReservePrefill: d.reservePrompt, RequestAdmission: d.reserveAdmission,
 			CoalesceDelay: d.settings.Platform().CoalesceDelay(),
 			Probe: func(ctx context.Context, r balance.Replica) bool {
-				return dialect.Probe(ctx, conns, Target{Replica: r.Name, Incarnation: r.Incarnation, Address: r.Address}) == nil
+				return dialect.Probe(ctx, conns, targetOf(r)) == nil
+			},
+			ReplicaEnded: func(ctx context.Context, r balance.Replica) bool {
+				err := dialect.Probe(ctx, conns, targetOf(r))
+				return errors.Is(err, syscall.ECONNREFUSED) || result.CodeOf(err) == result.Restarted
 			},
 		}),
 	}
 }
 
+func targetOf(r balance.Replica) Target {
+	return Target{Replica: r.Name, Incarnation: r.Incarnation, Address: r.Address}
+}
+
 // Gateway returns the gateway, which serves requests of clients.
 func (p *Platform) Gateway() *gateway.Gateway { return p.gateway }
 
--- /dev/null
+++ b/io/gateway/ended.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"syscall"
+	"time"
+
+	"papayaspoke/core/coordination/balance"
+	"papayaspoke/core/coordination/blame"
+)
+
+// endCheckTimeout bounds the check whether the process of a replica is gone.
+const endCheckTimeout = 200 * time.Millisecond
+
+// requestKey returns the key of the client's request.
+func (x *exchange) requestKey() blame.Key {
+	return blame.RequestKey(x.r.Method, x.r.Host, x.r.Target, x.r.Weights, x.r.Body)
+}
+
+// noteEnd checks, after the connection of an unanswered request was closed,
+// whether the replica has ended, and records that the request was in flight.
+// A replica that merely closes a connection accepts new ones.
+func (x *exchange) noteEnd(ctx context.Context, r balance.Replica) {
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
+	if !x.g.ReplicaEnded(ctx, r) {
+		return
+	}
+	x.endsUnanswered++
+	x.g.Log.Info("replica ended", "replica", r.Name, "incarnation", uint64(r.Incarnation), "request", x.r.ID, "route", x.route.Name,
+		"key", x.requestKey().String(), "runs", x.runs, "leaving", r.Leaving)
+}
+
+// isClosedByPeer reports whether a connection failed because the other end
+// closed or reset it.
+func isClosedByPeer(err error) bool {
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -68,6 +68,10 @@
 	lastEventID string
 	// runFailure is the last failure after which the request may have run.
 	runFailure *result.Error
+	// answering is true once the last attempt has received an answer, of a stream
+	// at least one event. connectionLost is true if its connection was closed
+	// before the answer was complete.
+	answering, connectionLost bool
 
 	// retryTaken is true if the next send was already taken from the retry
 	// allowance. An attempt that reaches no replica does not consume it.
@@ -76,7 +80,10 @@
 	// The fields from here on are for logs and metrics.
 	code       result.Code
 	streamEnds []EndedBy
-	replica    ident.Upstream
+	// endsUnanswered counts the replicas that ended before they began to answer
+	// the request.
+	endsUnanswered int
+	replica        ident.Upstream
 	// target is the replica that the request was last sent to.
 	target      balance.Replica
 	firstByteAt time.Time
@@ -113,6 +120,9 @@
 			return
 		}
 		v, err := x.attempt(ctx, c)
+		if x.connectionLost && !x.answering {
+			x.noteEnd(ctx, c.Replica)
+		}
 		if v == finished {
 			return
 		}
@@ -209,7 +219,7 @@
 func (x *exchange) observe() {
 	o := Observation{
 		Route: x.route.Name, Code: x.code, Replica: x.replica, Sends: x.sends,
-		TotalTime: x.g.Clock().Sub(x.r.Arrival), StreamEnds: x.streamEnds,
+		TotalTime: x.g.Clock().Sub(x.r.Arrival), StreamEnds: x.streamEnds, EndsUnanswered: x.endsUnanswered,
 	}
 	if !x.firstByteAt.IsZero() {
 		o.TimeToFirstByte = x.firstByteAt.Sub(x.r.Arrival)
@@ -233,6 +243,7 @@
 		}
 		x.g.recordOutcome(c, outcome, took)
 	}()
+	x.answering, x.connectionLost = false, false
 	x.replica, x.target = c.Replica.Name, c.Replica
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -309,6 +320,7 @@
 		x.connectFailures++
 		return tryOther, balance.Unreachable, result.New(result.NoUpstream, "replica %s: %w", x.replica, err).WithRetryAfter(x.g.Clock().Add(defaultRetryAfter))
 	}
+	x.connectionLost = isClosedByPeer(err)
 	v, ferr := x.recordRunFailure(result.New(result.UpstreamFailed, "replica %s: %w", x.replica, err))
 	if f != nil && f.OverFresh() {
 		return v, balance.Unreachable, ferr
@@ -359,9 +371,11 @@
 		if ctx.Err() != nil && x.g.Clock().Before(x.deadline) {
 			return giveUp, balance.Neutral, errClientGone
 		}
+		x.connectionLost = isClosedByPeer(err)
 		v, ferr := x.recordRunFailure(result.New(result.UpstreamFailed, "replica %s: %w", x.replica, err))
 		return v, balance.Faulty, ferr
 	}
+	x.answering = true
 	_ = a.Body().Close()
 	outcome := balance.Good
 	if a.Status() >= http.StatusInternalServerError {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -98,6 +98,9 @@
 	// Probe probes a replica over a new connection and reports whether it
 	// responded.
 	Probe func(ctx context.Context, r balance.Replica) bool
+	// ReplicaEnded checks over a new connection whether the process of a replica
+	// is gone: its address refuses connections or belongs to another replica.
+	ReplicaEnded func(ctx context.Context, r balance.Replica) bool
 	// Observe is called for every finished request.
 	Observe func(o Observation)
 }
@@ -114,6 +117,9 @@
 	Sends                      int
 	// StreamEnds lists why streams of the request ended before their last event.
 	StreamEnds []EndedBy
+	// EndsUnanswered counts the replicas that ended while the request was in
+	// flight and unanswered.
+	EndsUnanswered int
 }
 
 // demand counts the requests of this daemon that wait for the same weights.
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -70,6 +71,8 @@
 	// the connection.
 	respond func(w io.Writer, r *http.Request, n int) bool
 
+	listener net.Listener
+
 	mu       sync.Mutex
 	requests []*http.Request
 	// closedConns counts connections that the gateway closed.
@@ -81,7 +84,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	x := &testReplica{name: name, addr: l.Addr().String(), respond: respond}
+	x := &testReplica{name: name, addr: l.Addr().String(), listener: l, respond: respond}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -116,6 +119,9 @@
 	}
 }
 
+// end makes the replica refuse connections, as if its process had ended.
+func (x *testReplica) end() { _ = x.listener.Close() }
+
 func (x *testReplica) requestCount() int {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -178,7 +184,8 @@
 		RequestAdmission: func(context.Context, balance.Replica, pace.AdmissionRequest) (pace.Reservation, bool) {
 			return pace.Reservation{}, false
 		},
-		Probe: func(context.Context, balance.Replica) bool { return false },
+		Probe:        func(context.Context, balance.Replica) bool { return false },
+		ReplicaEnded: refusesConnections,
 	})
 	g.SetTable(table)
 	var all []balance.Replica
@@ -200,6 +207,15 @@
 	return &testGateway{Gateway: g, front: front}
 }
 
+func refusesConnections(ctx context.Context, r balance.Replica) bool {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", r.Address)
+	if err == nil {
+		_ = c.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func promptTokens(r *http.Request) int {
 	n, _ := strconv.Atoi(r.Header.Get("Test-Tokens"))
 	return n
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -73,6 +73,7 @@
 // response.
 func (x *exchange) forwardEvents(a *client.Answer, whole []byte) error {
 	x.forwardHead(a)
+	x.answering = true
 	now := x.g.Clock()
 	if !x.lastChunkAt.IsZero() {
 		x.maxGap = max(x.maxGap, now.Sub(x.lastChunkAt))
@@ -135,6 +136,7 @@
 	}
 	by := x.classifyStreamEnd(err)
 	x.streamEnds = append(x.streamEnds, by)
+	x.connectionLost = isClosedByPeer(err)
 	x.g.Log.Info("stream ended early", "request", x.r.ID, "replica", x.replica, "by", by.String(), "last", x.lastEventID,
 		"silent", x.idleTime().Milliseconds(), "runs", x.runs, "error", err.Error())
 	v, ferr := x.recordRunFailure(result.New(result.StreamCut, "replica %s: stream ended by %s: %w", x.replica, by, err))
