A request that crashes replicas is refused at every daemon

What callers saw: replica after replica ended under one request, with all other requests in flight there. Its client and the gateway sent it again and again, at any daemon.

Cause: the gateway remembered nothing of what was in flight when a replica ended.

Change: package blame. Evidence against a request (unanswered at the end of a replica's process) and for it (answered since) goes to all daemons through the log. After two ends its copies are sent one at a time as trials, after three they are refused with P216 (503, not run) for ten minutes. Ends within 25 ms count once, ends of replicas that leave do not count.

Why it works: a copy is recognized by what it asks for, not by its id; what one daemon has seen counts at all of them within an exchange of the log, and outlives restarts. A sound request is cleared by any answer to it.

--- a/core/coordination/balance/balance.go
+++ b/core/coordination/balance/balance.go
@@ -377,6 +377,13 @@
 	return p != nil && p.Incarnation == c.Replica.Incarnation && !p.Leaving
 }
 
+// Leaves reports whether an incarnation of a replica has announced that it
+// leaves.
+func (b *Balancer) Leaves(name ident.Upstream, i ident.Incarnation) bool {
+	p := b.replicas[name]
+	return p != nil && p.Incarnation == i && p.Leaving
+}
+
 // isEjected reports whether the replica is ejected by this daemon or avoided by
 // several.
 func (p *replicaState) isEjected(now time.Time) bool { return p.avoided || now.Before(p.ejectedUntil) }
--- /dev/null
+++ b/core/coordination/blame/entry.go
@@ -0,0 +1,73 @@
+package blame
+
+import "time"
+
+// Entry is evidence or a verdict as daemons exchange it: Ended, Answered or
+// Convicted.
+type Entry interface{ entry() }
+
+// Ended is evidence against a request: it was in flight and unanswered when a
+// replica ended.
+type Ended struct {
+	// End identifies the end of the replica. It is the same at every daemon.
+	End Key
+	// Request is the key of the request.
+	Request Key
+	// At is the wall time at which the daemon noticed the end.
+	At time.Time
+}
+
+// Answered clears a key: a replica has begun to answer a request with it.
+type Answered struct {
+	Key Key
+	// At is the wall time of the answer.
+	At time.Time
+}
+
+// Convicted makes daemons refuse requests with a key.
+type Convicted struct {
+	Key Key
+	// Until is the wall time at which the conviction expires.
+	Until time.Time
+}
+
+func (Ended) entry()     {}
+func (Answered) entry()  {}
+func (Convicted) entry() {}
+
+// Expires returns when an entry may be forgotten.
+func Expires(e Entry) time.Time {
+	switch e := e.(type) {
+	case Ended:
+		return e.At.Add(evidenceTTL)
+	case Answered:
+		return e.At.Add(evidenceTTL)
+	case Convicted:
+		return e.Until
+	}
+	return time.Time{}
+}
+
+// EndedThatExpires returns evidence by the time at which it expires; it is the
+// inverse of Expires.
+func EndedThatExpires(at time.Time, end, request Key) Ended {
+	return Ended{End: end, Request: request, At: at.Add(-evidenceTTL)}
+}
+
+// AnsweredThatExpires returns a clearance by the time at which it expires.
+func AnsweredThatExpires(at time.Time, k Key) Answered {
+	return Answered{Key: k, At: at.Add(-evidenceTTL)}
+}
+
+// madeAt returns when an entry was made.
+func madeAt(e Entry) time.Time {
+	switch e := e.(type) {
+	case Ended:
+		return e.At
+	case Answered:
+		return e.At
+	case Convicted:
+		return e.Until.Add(-convictionTTL)
+	}
+	return time.Time{}
+}
--- a/core/result/result.go
+++ b/core/result/result.go
@@ -49,6 +49,7 @@
 	Pinned           Code = 213
 	Superseded       Code = 214
 	NoRouting        Code = 215
+	Suspended        Code = 216
 
 	Unknown        Code = 301
 	StillRunning   Code = 302
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"papayaspoke/core/coordination/blame"
 	"papayaspoke/core/coordination/consensus"
 	"papayaspoke/core/coordination/dispatch"
 	"papayaspoke/core/coordination/dispatch/budget"
@@ -113,6 +114,10 @@
 	// pendingListings are the listings that replicas have announced since the
 	// last usage report to the placer.
 	pendingListings []placement.Listing
+	// pendingBlame holds evidence that is to be committed. nextBlameAt is when
+	// the leader next looks for convictions that are due.
+	pendingBlame []blame.Entry
+	nextBlameAt  time.Time
 	// pendingReads holds the linearizable reads that this daemon serves as the
 	// leader, by number.
 	pendingReads map[uint64]chan<- consensus.ReadOutcome
--- a/io/daemon/dispatch.go
+++ b/io/daemon/dispatch.go
@@ -151,6 +151,7 @@
 			c.applyVerdicts(now, sub)
 		}
 	case state.Quarantine:
+		c.applyBlame(cmd)
 		if e, ok := decodeVerdict(cmd.Digest, cmd.Until); ok {
 			c.stepDispatch(now, dispatch.QuarantineReceived{Entries: []quarantine.Entry{e}})
 		}
@@ -160,6 +161,7 @@
 // restoreVerdicts passes the verdicts in a snapshot to the dispatcher, except
 // those that clear a suspect: the suspect's own entry soon expires.
 func (c *control) restoreVerdicts(now time.Time) {
+	c.restoreBlame()
 	var es []quarantine.Entry
 	for key, until := range c.state.View().Quarantined() {
 		if e, ok := decodeVerdict(key, until); ok && e.Verdict != quarantine.Clear {
--- a/io/daemon/placer.go
+++ b/io/daemon/placer.go
@@ -82,6 +82,7 @@
 		c.executePlacement(p.Tick(now))
 	}
 	c.logPlacement(now)
+	c.commitBlame(now)
 }
 
 // logPlacement logs the placer's state every summaryInterval.
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -66,21 +66,21 @@
 
 func newPlatform(d *Daemon, dialect Dialect) *Platform {
 	conns := client.NewForReplicas(d.settings.Platform().Front().Addr())
-	return &Platform{
-		d: d, dialect: dialect, replicas: conns,
-		gateway: gateway.New(gateway.Config{
-			DataCentre: d.dataCentre, Client: conns, Dialect: dialect.Gateway, Log: d.log,
-			RetryAllowance: d.settings.Platform().RetryAllowance(), Clock: d.clock, Observe: newRoutedMeter(d.metrics.Scope()).observe, ReservePrefill: d.reservePrompt, RequestAdmission: d.reserveAdmission,
-			CoalesceDelay: d.settings.Platform().CoalesceDelay(),
-			Probe: func(ctx context.Context, r balance.Replica) bool {
-				return dialect.Probe(ctx, conns, targetOf(r)) == nil
-			},
-			ReplicaEnded: func(ctx context.Context, r balance.Replica) bool {
-				err := dialect.Probe(ctx, conns, targetOf(r))
-				return errors.Is(err, syscall.ECONNREFUSED) || result.CodeOf(err) == result.Restarted
-			},
-		}),
-	}
+	p := &Platform{d: d, dialect: dialect, replicas: conns}
+	p.gateway = gateway.New(gateway.Config{
+		DataCentre: d.dataCentre, Client: conns, Dialect: dialect.Gateway, Log: d.log,
+		RetryAllowance: d.settings.Platform().RetryAllowance(), Clock: d.clock, Observe: newRoutedMeter(d.metrics.Scope()).observe, ReservePrefill: d.reservePrompt, RequestAdmission: d.reserveAdmission,
+		CoalesceDelay: d.settings.Platform().CoalesceDelay(),
+		Probe: func(ctx context.Context, r balance.Replica) bool {
+			return dialect.Probe(ctx, conns, targetOf(r)) == nil
+		},
+		ReplicaEnded: func(ctx context.Context, r balance.Replica) bool {
+			err := dialect.Probe(ctx, conns, targetOf(r))
+			return errors.Is(err, syscall.ECONNREFUSED) || result.CodeOf(err) == result.Restarted
+		},
+		PublishBlame: p.publishBlame,
+	})
+	return p
 }
 
 func targetOf(r balance.Replica) Target {
--- a/io/gateway/acquire.go
+++ b/io/gateway/acquire.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"papayaspoke/core/coordination/balance"
+	"papayaspoke/core/coordination/blame"
 	"papayaspoke/core/ident"
 	"papayaspoke/core/result"
 	"papayaspoke/core/routes"
@@ -53,6 +54,9 @@
 			x.g.addDemand(x)
 		}
 		x.waitReason = reason
+		if d, _ := x.verdict(); d.Verdict == blame.Refused {
+			return c, x.suspendedError(d)
+		}
 		if err := x.awaitChange(ctx, start, reason, readyAt, changed); err != nil {
 			return c, err
 		}
--- a/io/gateway/ended.go
+++ b/io/gateway/ended.go
@@ -20,17 +20,29 @@
 }
 
 // noteEnd checks, after the connection of an unanswered request was closed,
-// whether the replica has ended, and records that the request was in flight.
-// A replica that merely closes a connection accepts new ones.
+// whether the replica has ended, and records that as evidence against the
+// request. A replica that merely closes a connection accepts new ones, and one
+// that leaves ends as planned.
 func (x *exchange) noteEnd(ctx context.Context, r balance.Replica) {
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
 	if !x.g.ReplicaEnded(ctx, r) {
 		return
 	}
+	leaving := x.g.leaves(r)
 	x.endsUnanswered++
 	x.g.Log.Info("replica ended", "replica", r.Name, "incarnation", uint64(r.Incarnation), "request", x.r.ID, "route", x.route.Name,
-		"key", x.requestKey().String(), "runs", x.runs, "leaving", r.Leaving)
+		"key", x.requestKey().String(), "runs", x.runs, "leaving", leaving)
+	if !leaving {
+		x.recordEnd(r)
+	}
+}
+
+// leaves reports whether a replica is known to leave.
+func (g *Gateway) leaves(r balance.Replica) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.balancer.Leaves(r.Name, r.Incarnation)
 }
 
 // isClosedByPeer reports whether a connection failed because the other end
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -72,6 +72,8 @@
 	// at least one event. connectionLost is true if its connection was closed
 	// before the answer was complete.
 	answering, connectionLost bool
+	// onTrial is true if the request is sent although its key is suspected.
+	onTrial bool
 
 	// retryTaken is true if the next send was already taken from the retry
 	// allowance. An attempt that reaches no replica does not consume it.
@@ -114,6 +116,10 @@
 func (x *exchange) run(ctx context.Context) {
 	x.lastEventID = x.r.LastEventID
 	for {
+		if err := x.awaitVerdict(ctx); err != nil {
+			x.respondError(err)
+			return
+		}
 		c, err := x.acquire(ctx)
 		if err != nil {
 			x.respondError(err)
@@ -122,6 +128,7 @@
 		v, err := x.attempt(ctx, c)
 		if x.connectionLost && !x.answering {
 			x.noteEnd(ctx, c.Replica)
+			x.onTrial = false
 		}
 		if v == finished {
 			return
@@ -253,6 +260,9 @@
 	if v, err := x.awaitCapacity(ctx, c); err != nil {
 		return v, err
 	}
+	if err := x.awaitVerdict(ctx); err != nil {
+		return giveUp, err
+	}
 	if !x.g.acceptsRequests(c) {
 		return tryOther, result.New(result.NoUpstream, "replica %s left while the request waited for capacity", c.Replica.Name).WithRetryAfter(x.g.Clock())
 	}
@@ -375,7 +385,7 @@
 		v, ferr := x.recordRunFailure(result.New(result.UpstreamFailed, "replica %s: %w", x.replica, err))
 		return v, balance.Faulty, ferr
 	}
-	x.answering = true
+	x.recordAnswer()
 	_ = a.Body().Close()
 	outcome := balance.Good
 	if a.Status() >= http.StatusInternalServerError {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-logr/logr"
 	"papayaspoke/core/coordination/balance"
+	"papayaspoke/core/coordination/blame"
 	"papayaspoke/core/coordination/pace"
 	"papayaspoke/core/coordination/placement"
 	"papayaspoke/core/ident"
@@ -101,6 +102,9 @@
 	// ReplicaEnded checks over a new connection whether the process of a replica
 	// is gone: its address refuses connections or belongs to another replica.
 	ReplicaEnded func(ctx context.Context, r balance.Replica) bool
+	// PublishBlame commits evidence on requests that crash replicas, so that it
+	// reaches all daemons.
+	PublishBlame func(es []blame.Entry)
 	// Observe is called for every finished request.
 	Observe func(o Observation)
 }
@@ -144,6 +148,7 @@
 	// weights.
 	demandSignal chan struct{}
 	draining     atomic.Bool
+	evidence     evidence
 
 	mu       sync.Mutex
 	balancer *balance.Balancer
@@ -174,6 +179,7 @@
 		retries:    make(map[ident.Service]*balance.RetryLimiter),
 		demands:    make(map[placement.Weights]*demand),
 		estimators: make(map[ident.Service]*pace.RateEstimator),
+		evidence:   evidence{tracker: blame.New()},
 	}
 	g.requiredVersions.Store(&map[placement.Weights]RequiredVersion{})
 	g.balancer.SetStartedAt(c.Clock())
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 	"github.com/go-logr/logr/funcr"
 	"gotest.tools/v3/assert"
 	"papayaspoke/core/coordination/balance"
+	"papayaspoke/core/coordination/blame"
 	"papayaspoke/core/coordination/pace"
 	"papayaspoke/core/coordination/placement"
 	"papayaspoke/core/ident"
@@ -186,6 +187,7 @@
 		},
 		Probe:        func(context.Context, balance.Replica) bool { return false },
 		ReplicaEnded: refusesConnections,
+		PublishBlame: func([]blame.Entry) {},
 	})
 	g.SetTable(table)
 	var all []balance.Replica
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -73,7 +73,9 @@
 // response.
 func (x *exchange) forwardEvents(a *client.Answer, whole []byte) error {
 	x.forwardHead(a)
-	x.answering = true
+	if !x.answering {
+		x.recordAnswer()
+	}
 	now := x.g.Clock()
 	if !x.lastChunkAt.IsZero() {
 		x.maxGap = max(x.maxGap, now.Sub(x.lastChunkAt))
--- /dev/null
+++ b/io/gateway/verdict.go
@@ -0,0 +1,201 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"papayaspoke/core/coordination/balance"
+	"papayaspoke/core/coordination/blame"
+	"papayaspoke/core/result"
+)
+
+const (
+	// maxTrialDelay is how long a suspected request waits at most for its trial.
+	// The delay is random, so that the first trials of all daemons show the
+	// others whether to go on.
+	maxTrialDelay = time.Second
+	// trialRetryInterval is how often a request tries again while another trial
+	// is under way.
+	trialRetryInterval = 100 * time.Millisecond
+)
+
+// evidence guards the tracker of requests that crash replicas.
+type evidence struct {
+	mu      sync.Mutex
+	tracker *blame.Tracker
+	// some is true while there is any evidence, so that other requests needn't
+	// compute their keys.
+	some atomic.Bool
+}
+
+// update runs f on the tracker.
+func (e *evidence) update(f func(t *blame.Tracker)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f(e.tracker)
+	e.some.Store(!e.tracker.Empty())
+}
+
+// ApplyBlame applies evidence and verdicts that daemons have committed.
+func (g *Gateway) ApplyBlame(es ...blame.Entry) {
+	now := g.Clock()
+	changed := false
+	g.evidence.update(func(t *blame.Tracker) {
+		for _, e := range es {
+			if t.Apply(now, e) {
+				changed = true
+				g.logBlame(now, t, e)
+			}
+		}
+	})
+	if changed {
+		g.wake()
+	}
+}
+
+// RestoreBlame applies the evidence and verdicts of a snapshot.
+func (g *Gateway) RestoreBlame(es []blame.Entry) {
+	g.evidence.update(func(t *blame.Tracker) { t.Restore(g.Clock(), es) })
+	g.wake()
+}
+
+// DueBlame returns the convictions that the leader is to commit.
+func (g *Gateway) DueBlame() []blame.Entry {
+	if !g.evidence.some.Load() {
+		return nil
+	}
+	var out []blame.Entry
+	g.evidence.update(func(t *blame.Tracker) { out = t.Due(g.Clock()) })
+	return out
+}
+
+func (g *Gateway) wake() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.wakeWaiting()
+}
+
+// logBlame logs an entry that was applied, if it changes what becomes of
+// requests.
+func (g *Gateway) logBlame(now time.Time, t *blame.Tracker, e blame.Entry) {
+	switch e := e.(type) {
+	case blame.Ended:
+		if d := t.Decide(now, e.Request); d.Verdict != blame.Clear {
+			g.Log.Info("request suspected", "key", d.Key.String(), "verdict", d.Verdict.String(), "ends", d.Ends, "since", d.Since, "end", e.End.String())
+		}
+	case blame.Answered:
+		g.Log.Info("request cleared", "key", e.Key.String())
+	case blame.Convicted:
+		g.Log.Info("request convicted", "key", e.Key.String(), "until", e.Until)
+	}
+}
+
+// recordEnd records that a replica ended while the request was in flight and
+// unanswered.
+func (x *exchange) recordEnd(r balance.Replica) {
+	now := x.g.Clock()
+	e := blame.Ended{End: blame.EndKey(r.Name, r.Incarnation), Request: x.requestKey(), At: now.Round(0)}
+	x.g.ApplyBlame(e)
+	x.g.PublishBlame([]blame.Entry{e})
+}
+
+// recordAnswer records that a replica has begun to answer the request.
+func (x *exchange) recordAnswer() {
+	x.answering = true
+	if !x.g.evidence.some.Load() {
+		return
+	}
+	var cleared []blame.Entry
+	x.g.evidence.update(func(t *blame.Tracker) { cleared = t.Answered(x.g.Clock(), x.requestKey()) })
+	if len(cleared) > 0 {
+		x.g.PublishBlame(cleared)
+		x.g.wake()
+	}
+}
+
+// verdict returns the verdict on the request, and a channel that is closed when
+// it may have changed.
+func (x *exchange) verdict() (blame.Decision, <-chan struct{}) {
+	if x.headSent || !x.g.evidence.some.Load() {
+		return blame.Decision{}, nil
+	}
+	x.g.mu.Lock()
+	changed := x.g.changed
+	x.g.mu.Unlock()
+	var d blame.Decision
+	x.g.evidence.update(func(t *blame.Tracker) { d = t.Decide(x.g.Clock(), x.requestKey()) })
+	return d, changed
+}
+
+// awaitVerdict waits until the request may be sent. An error means that it was
+// not sent.
+func (x *exchange) awaitVerdict(ctx context.Context) error {
+	var trialAt time.Time
+	for {
+		d, changed := x.verdict()
+		now := x.g.Clock()
+		wakeAt := d.Until
+		switch d.Verdict {
+		case blame.Clear:
+			return nil
+		case blame.Refused:
+			return x.suspendedError(d)
+		case blame.Suspected:
+			if x.onTrial {
+				return nil
+			}
+			if trialAt.IsZero() {
+				trialAt = now.Add(rand.N(maxTrialDelay))
+			}
+			if !now.Before(trialAt) && x.beginTrial(d.Key) {
+				x.onTrial = true
+				return nil
+			}
+			wakeAt = later(trialAt, now.Add(trialRetryInterval))
+		}
+		if !wakeAt.Before(x.waitDeadline()) {
+			return x.suspendedError(d)
+		}
+		if err := x.waitUntil(ctx, wakeAt, changed); err != nil {
+			return err
+		}
+	}
+}
+
+// waitUntil waits until a time or until changed is closed.
+func (x *exchange) waitUntil(ctx context.Context, at time.Time, changed <-chan struct{}) error {
+	t := time.NewTimer(at.Sub(x.g.Clock()))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		if x.g.Clock().Before(x.deadline) {
+			return errClientGone
+		}
+		return result.New(result.Suspended, "deadline reached while the request waited for a verdict")
+	case <-t.C:
+	case <-changed:
+	}
+	return nil
+}
+
+// beginTrial reports whether the request may be sent although its key is
+// suspected.
+func (x *exchange) beginTrial(k blame.Key) (ok bool) {
+	x.g.evidence.update(func(t *blame.Tracker) { ok = t.BeginTrial(x.g.Clock(), k) })
+	if ok {
+		x.g.Log.Info("trial of a suspected request", "request", x.r.ID, "key", k.String())
+	}
+	return ok
+}
+
+// suspendedError refuses a request for a verdict on it.
+func (x *exchange) suspendedError(d blame.Decision) error {
+	err := result.New(result.Suspended, "key %s: %s, %d replicas have ended under it since %s", d.Key, d.Verdict, d.Ends, d.Since.UTC().Format(time.TimeOnly))
+	if d.Until.IsZero() {
+		return err.WithRetryAfter(x.g.Clock().Add(maxTrialDelay))
+	}
+	return err.WithRetryAfter(d.Until)
+}
