Shared parts of a prompt in the line of a request that was unanswered at an end

Cause: requests that crash replicas by one part of their prompt have nothing else in common, and no line showed the parts. Nothing is decided by them yet.

--- a/io/gateway/ended.go
+++ b/io/gateway/ended.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"syscall"
 	"time"
 
@@ -32,7 +33,7 @@
 	leaving := x.g.leaves(r)
 	x.endsUnanswered++
 	x.g.Log.Info("replica ended", "replica", r.Name, "incarnation", uint64(r.Incarnation), "request", x.r.ID, "route", x.route.Name,
-		"key", x.requestKey().String(), "runs", x.runs, "leaving", leaving)
+		"key", x.requestKey().String(), "parts", strings.Join(x.r.SharedParts, " "), "runs", x.runs, "leaving", leaving)
 	if !leaving {
 		x.recordEnd(r)
 	}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -37,6 +37,9 @@
 	Weights placement.Weights
 	// PromptTokens is the length of the prompt, 0 if there is none.
 	PromptTokens int
+	// SharedParts are the ids of the parts of the prompt that other requests may
+	// have too, in order.
+	SharedParts []string
 	// LastEventID is the id of the last event that the client has, from a
 	// stream that was cut; empty to start from the beginning.
 	LastEventID string
