Requests that crash replicas by a part of their prompts are refused

What callers saw: replicas ended one after the other, at 2.3 requests a second with one part of their prompt; three of four sound requests with the same first part were not served.

Cause: verdicts were on whole requests, and no two of these are alike.

Change: each shared part of a prompt has a key of its own (at most 32, within its service). A part is blamed once three replicas have ended under different requests with it and none has been answered since. An end that one part explains counts against nothing else; the last parts come first, since those before them are shared by more requests. An answer with a status of 500 or more clears nothing.

Why it works: sound parts are cleared by answers all over the fleet within the half second that a conviction takes to settle, the deadly one never is.

--- a/core/coordination/blame/blame_test.go
+++ b/core/coordination/blame/blame_test.go
@@ -17,15 +17,24 @@
 
 func end(replica string) blame.Key { return blame.EndKey(ident.Upstream(replica), 1) }
 
-func request(body string) blame.Key {
+func requestKey(body string) blame.Key {
 	return blame.RequestKey("POST", "h", "/x", placement.Weights{}, []byte(body))
 }
 
+// request returns a request with a body and the shared parts of its prompt.
+func request(body string, parts ...string) blame.Suspect {
+	s := blame.Suspect{Request: requestKey(body)}
+	for _, id := range parts {
+		s.Parts = append(s.Parts, blame.PartKey("s", id))
+	}
+	return s
+}
+
 // ended applies the ends of some replicas, 100 ms apart, under one request.
-func ended(t *blame.Tracker, from int, k blame.Key, replicas ...string) {
+func ended(t *blame.Tracker, from int, s blame.Suspect, replicas ...string) {
 	for i, name := range replicas {
 		now := at(from + 100*i)
-		t.Apply(now, blame.Ended{End: end(name), Request: k, At: now})
+		t.Apply(now, blame.Ended{End: end(name), Suspect: s, At: now})
 	}
 }
 
@@ -40,7 +49,7 @@
 		"two ends": {func(t *blame.Tracker) { ended(t, 0, request("d"), "a", "b") }, 200, blame.Suspected},
 		"one end, told by three daemons": {func(t *blame.Tracker) {
 			for i := range 3 {
-				t.Apply(at(200*i), blame.Ended{End: end("a"), Request: request("d"), At: at(200 * i)})
+				t.Apply(at(200*i), blame.Ended{End: end("a"), Suspect: request("d"), At: at(200 * i)})
 			}
 		}, 700, blame.Clear},
 		"three ends, just now":  {func(t *blame.Tracker) { ended(t, 0, request("d"), "a", "b", "c") }, 300, blame.Settling},
@@ -53,22 +62,22 @@
 		}, 2000, blame.Clear},
 		"an answer at another daemon": {func(t *blame.Tracker) {
 			ended(t, 0, request("d"), "a", "b", "c")
-			t.Apply(at(400), blame.Answered{Key: request("d"), At: at(400)})
+			t.Apply(at(400), blame.Answered{Key: requestKey("d"), At: at(400)})
 		}, 2000, blame.Clear},
 		"an answer after the conviction": {func(t *blame.Tracker) {
-			t.Apply(at(0), blame.Convicted{Key: request("d"), Until: at(60_000)})
+			t.Apply(at(0), blame.Convicted{Key: requestKey("d"), Until: at(60_000)})
 			t.Answered(at(10), request("d"))
 		}, 20, blame.Clear},
 		"a data centre that stops": {func(t *blame.Tracker) {
 			for i, name := range []string{"a", "b", "c", "d"} {
-				t.Apply(at(5*i), blame.Ended{End: end(name), Request: request("d"), At: at(5 * i)})
+				t.Apply(at(5*i), blame.Ended{End: end(name), Suspect: request("d"), At: at(5 * i)})
 			}
 		}, 1000, blame.Clear},
 		"convicted elsewhere": {func(t *blame.Tracker) {
-			t.Apply(at(0), blame.Convicted{Key: request("d"), Until: at(60_000)})
+			t.Apply(at(0), blame.Convicted{Key: requestKey("d"), Until: at(60_000)})
 		}, 10, blame.Refused},
 		"conviction expired": {func(t *blame.Tracker) {
-			t.Apply(at(0), blame.Convicted{Key: request("d"), Until: at(60_000)})
+			t.Apply(at(0), blame.Convicted{Key: requestKey("d"), Until: at(60_000)})
 		}, 60_001, blame.Clear},
 		"evidence expired": {func(t *blame.Tracker) {
 			ended(t, 0, request("d"), "a", "b")
@@ -88,9 +97,9 @@
 func TestOneTrialAtATime(t *testing.T) {
 	x := blame.New()
 	ended(x, 0, request("d"), "a", "b")
-	assert.Assert(t, x.BeginTrial(at(300), request("d")))
-	assert.Assert(t, !x.BeginTrial(at(400), request("d")))
-	assert.Assert(t, x.BeginTrial(at(1400), request("d")))
+	assert.Assert(t, x.BeginTrial(at(300), requestKey("d")))
+	assert.Assert(t, !x.BeginTrial(at(400), requestKey("d")))
+	assert.Assert(t, x.BeginTrial(at(1400), requestKey("d")))
 }
 
 func TestConvictionIsDueOnceSettled(t *testing.T) {
@@ -106,12 +115,12 @@
 // Guards against verdicts that a restart forgets or turns round.
 func TestRestoreKeepsWhatAnOrderedLogSays(t *testing.T) {
 	var es []blame.Entry
-	es = append(es, blame.Convicted{Key: request("d"), Until: at(500_000)})
+	es = append(es, blame.Convicted{Key: requestKey("d"), Until: at(500_000)})
 	for i, name := range []string{"a", "b", "c"} {
-		es = append(es, blame.Ended{End: end(name), Request: request("e"), At: at(1000 * i)})
-		es = append(es, blame.Ended{End: end(name), Request: request("f"), At: at(1000 * i)})
+		es = append(es, blame.Ended{End: end(name), Suspect: request("e"), At: at(1000 * i)})
+		es = append(es, blame.Ended{End: end(name), Suspect: request("f"), At: at(1000 * i)})
 	}
-	es = append([]blame.Entry{blame.Answered{Key: request("f"), At: at(2500)}}, es...)
+	es = append([]blame.Entry{blame.Answered{Key: requestKey("f"), At: at(2500)}}, es...)
 	x := blame.New()
 	x.Restore(at(3000), es)
 	assert.Equal(t, x.Decide(at(4000), request("d")).Verdict, blame.Refused)
@@ -122,10 +131,81 @@
 // Guards against memory that grows with ever new requests.
 func TestTrackerIsBoundedAndKeepsConvictions(t *testing.T) {
 	x := blame.New()
-	x.Apply(at(0), blame.Convicted{Key: request("d"), Until: at(600_000)})
+	x.Apply(at(0), blame.Convicted{Key: requestKey("d"), Until: at(600_000)})
 	for i := range 5000 {
 		ended(x, i, request(fmt.Sprint(i)), "a")
 	}
 	assert.Assert(t, x.Len() <= 4096)
 	assert.Equal(t, x.Decide(at(6000), request("d")).Verdict, blame.Refused)
 }
+
+// Guards against sound parts that are blamed beside the one that crashes replicas.
+func TestPartsAreToldApart(t *testing.T) {
+	three := []string{"a", "b", "c"}
+	cases := map[string]struct {
+		act  func(t *blame.Tracker)
+		want map[string]blame.Verdict
+	}{
+		"no two requests alike": {func(t *blame.Tracker) {
+			for i, name := range three {
+				ended(t, 100*i, request(fmt.Sprint(i), "first", fmt.Sprint("s", i), "dead"), name)
+			}
+		}, map[string]blame.Verdict{"dead": blame.Refused, "first": blame.Clear, "s0": blame.Clear}},
+		"beside a part that the same requests share": {func(t *blame.Tracker) {
+			for i, name := range three {
+				ended(t, 100*i, request(fmt.Sprint(i), "first", "second", "dead"), name)
+			}
+		}, map[string]blame.Verdict{"dead": blame.Refused, "first": blame.Clear, "second": blame.Clear}},
+		"one request alone": {func(t *blame.Tracker) {
+			ended(t, 0, request("d", "first", "second"), three...)
+		}, map[string]blame.Verdict{"first": blame.Clear, "second": blame.Clear}},
+		"sound requests beside it each time": {func(t *blame.Tracker) {
+			for i, name := range three {
+				ended(t, 100*i, request(fmt.Sprint(i), "first", "dead"), name)
+				ended(t, 100*i+5, request(fmt.Sprint("s", i), "first", "sound"), name)
+			}
+			t.Answered(at(350), request("s", "first", "sound"))
+		}, map[string]blame.Verdict{"dead": blame.Refused, "first": blame.Clear, "sound": blame.Clear}},
+		"one more end beside a convicted part": {func(t *blame.Tracker) {
+			for i, name := range three {
+				ended(t, 100*i, request(fmt.Sprint(i), "first", "dead"), name)
+				ended(t, 100*i+5, request(fmt.Sprint("s", i), "first", "sound"), name)
+			}
+			t.Answered(at(350), request("s", "first", "sound"))
+			ended(t, 900, request("s4", "first", "sound"), "d")
+		}, map[string]blame.Verdict{"dead": blame.Refused, "first": blame.Clear, "sound": blame.Clear}},
+		"two parts at once": {func(t *blame.Tracker) {
+			for i, name := range three {
+				ended(t, 200*i, request(fmt.Sprint(i), "first", "dead"), name)
+				ended(t, 200*i+100, request(fmt.Sprint("o", i), "first", "other"), name+"2")
+			}
+			t.Answered(at(550), request("s", "first"))
+		}, map[string]blame.Verdict{"dead": blame.Refused, "other": blame.Refused, "first": blame.Clear}},
+		"replicas that end for another reason": {func(t *blame.Tracker) {
+			for i, name := range three {
+				ended(t, 100*i, request(fmt.Sprint(i), "first", fmt.Sprint("x", i)), name)
+				t.Answered(at(100*i+50), request("s", "first"))
+			}
+		}, map[string]blame.Verdict{"first": blame.Clear, "x0": blame.Clear}},
+		"a part that became sound again": {func(t *blame.Tracker) {
+			for i, name := range three {
+				ended(t, 100*i, request(fmt.Sprint(i), "dead"), name)
+			}
+			t.Answered(at(400), request("s", "dead"))
+		}, map[string]blame.Verdict{"dead": blame.Clear}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			x := blame.New()
+			c.act(x)
+			for part, want := range c.want {
+				assert.Check(t, x.Decide(at(1500), request("new", part)).Verdict == want, "%s: %s", part, x.Decide(at(1500), request("new", part)).Verdict)
+			}
+		})
+	}
+}
+
+// Guards against a part that the same id names in another service.
+func TestPartsBelongToAService(t *testing.T) {
+	assert.Assert(t, blame.PartKey("s", "a") != blame.PartKey("t", "a"))
+}
--- a/core/coordination/blame/entry.go
+++ b/core/coordination/blame/entry.go
@@ -11,8 +11,10 @@
 type Ended struct {
 	// End identifies the end of the replica. It is the same at every daemon.
 	End Key
-	// Request is the key of the request.
-	Request Key
+	Suspect
+	// PartsBefore is how many parts of the prompt come before the first of Parts.
+	// It is not 0 if the evidence is split.
+	PartsBefore int
 	// At is the wall time at which the daemon noticed the end.
 	At time.Time
 }
@@ -50,8 +52,8 @@
 
 // EndedThatExpires returns evidence by the time at which it expires; it is the
 // inverse of Expires.
-func EndedThatExpires(at time.Time, end, request Key) Ended {
-	return Ended{End: end, Request: request, At: at.Add(-evidenceTTL)}
+func EndedThatExpires(at time.Time, end Key, s Suspect, partsBefore int) Ended {
+	return Ended{End: end, Suspect: s, PartsBefore: partsBefore, At: at.Add(-evidenceTTL)}
 }
 
 // AnsweredThatExpires returns a clearance by the time at which it expires.
--- a/core/coordination/blame/key.go
+++ b/core/coordination/blame/key.go
@@ -41,3 +41,22 @@
 	binary.BigEndian.PutUint64(n[:], uint64(i))
 	return keyOf("end", []byte(replica), n[:])
 }
+
+// PartKey returns the key of a part of a prompt. Another service may run the same
+// part on another engine, so that it has a key of its own there.
+func PartKey(s ident.Service, id string) Key { return keyOf("part", []byte(s), []byte(id)) }
+
+// MaxParts is how many parts of a prompt are considered.
+const MaxParts = 32
+
+// Suspect is a request by what it has in common with others.
+type Suspect struct {
+	// Request is the key of the whole request.
+	Request Key
+	// Parts are the keys of the parts of its prompt that other requests may have
+	// too, in order.
+	Parts []Key
+}
+
+// keys returns all keys of the request.
+func (s Suspect) keys() []Key { return append([]Key{s.Request}, s.Parts...) }
--- a/io/daemon/blame.go
+++ b/io/daemon/blame.go
@@ -1,8 +1,9 @@
 package daemon
 
 import (
+	"encoding/base64"
 	"encoding/binary"
-	"encoding/hex"
+	"strconv"
 	"strings"
 	"time"
 
@@ -15,8 +16,10 @@
 	blameInterval = 100 * time.Millisecond
 	// maxBlameBatch bounds the entries that a daemon commits at once.
 	maxBlameBatch = 64
-	// blameKeySize is the size of a key in the replicated state, in bytes.
-	blameKeySize = 16
+	// blameKeySize is the size of a key in the replicated state, in bytes, and
+	// maxBlameParts how many parts fit into one entry there.
+	blameKeySize  = 11
+	maxBlameParts = (state.MaxDigest-len(blameEnded)-1)/blameKeySize - 2
 )
 
 // The kinds of entries in the replicated state, where verdicts of the dispatcher
@@ -42,29 +45,47 @@
 	if len(c.pendingBlame) == 0 {
 		return
 	}
+	batch := c.pendingBlame[:min(len(c.pendingBlame), maxBlameBatch)]
+	c.pendingBlame = c.pendingBlame[len(batch):]
 	var cmds []state.Command
-	for _, e := range c.pendingBlame[:min(len(c.pendingBlame), maxBlameBatch)] {
-		cmds = append(cmds, state.Quarantine{Digest: encodeBlame(e), Until: blame.Expires(e)})
+	for _, e := range batch {
+		for _, key := range encodeBlame(e) {
+			cmds = append(cmds, state.Quarantine{Digest: key, Until: blame.Expires(e)})
+		}
 	}
-	c.pendingBlame = c.pendingBlame[len(cmds):]
 	c.async.commit(state.Batch{Commands: cmds})
 }
 
-// encodeBlame returns the key of an entry in the replicated state. When it
-// expires stands beside the key.
-func encodeBlame(e blame.Entry) string {
+// encodeBlame returns the keys of an entry in the replicated state. When it
+// expires stands beside the key. Evidence against many parts takes several keys.
+func encodeBlame(e blame.Entry) []string {
 	switch e := e.(type) {
 	case blame.Ended:
-		return blameEnded + encodeKey(e.End) + encodeKey(e.Request)
+		out := []string{encodeEnded(e, e.Parts[:min(len(e.Parts), maxBlameParts)], 0)}
+		for before := maxBlameParts; before < len(e.Parts); before += maxBlameParts {
+			out = append(out, encodeEnded(e, e.Parts[before:min(before+maxBlameParts, len(e.Parts))], before))
+		}
+		return out
 	case blame.Answered:
-		return blameAnswered + encodeKey(e.Key)
+		return []string{blameAnswered + encodeKeys(e.Key)}
 	case blame.Convicted:
-		return blameConvicted + encodeKey(e.Key)
+		return []string{blameConvicted + encodeKeys(e.Key)}
 	}
-	return ""
+	return nil
 }
 
-func encodeKey(k blame.Key) string { return k.String() }
+// encodeEnded returns the key of a piece of the evidence. Its number is a digit.
+func encodeEnded(e blame.Ended, parts []blame.Key, before int) string {
+	return blameEnded + strconv.Itoa(before/maxBlameParts) + encodeKeys(e.End, e.Request) + encodeKeys(parts...)
+}
+
+func encodeKeys(ks ...blame.Key) string {
+	var b strings.Builder
+	for _, k := range ks {
+		b.WriteString(base64.RawURLEncoding.EncodeToString(binary.BigEndian.AppendUint64(nil, uint64(k))))
+	}
+	return b.String()
+}
 
 // decodeBlame parses a key made by encodeBlame. It returns false for keys of
 // others.
@@ -74,12 +95,16 @@
 		if !ok {
 			continue
 		}
+		before := 0
+		if kind == blameEnded && rest != "" {
+			before, rest = (int(rest[0])-'0')*maxBlameParts, rest[1:]
+		}
 		keys, ok := decodeKeys(rest)
 		switch {
-		case !ok:
+		case !ok || before < 0 || before >= blame.MaxParts:
 			return nil, false
-		case kind == blameEnded && len(keys) == 2:
-			return blame.EndedThatExpires(until, keys[0], keys[1]), true
+		case kind == blameEnded && len(keys) >= 2:
+			return blame.EndedThatExpires(until, keys[0], blame.Suspect{Request: keys[1], Parts: keys[2:]}, before), true
 		case kind == blameAnswered && len(keys) == 1:
 			return blame.AnsweredThatExpires(until, keys[0]), true
 		case kind == blameConvicted && len(keys) == 1:
@@ -90,15 +115,15 @@
 }
 
 func decodeKeys(s string) ([]blame.Key, bool) {
-	raw, err := hex.DecodeString(s)
-	if err != nil || len(s)%blameKeySize != 0 {
-		return nil, false
-	}
 	var keys []blame.Key
-	for ; len(raw) > 0; raw = raw[8:] {
+	for ; len(s) >= blameKeySize; s = s[blameKeySize:] {
+		raw, err := base64.RawURLEncoding.DecodeString(s[:blameKeySize])
+		if err != nil {
+			return nil, false
+		}
 		keys = append(keys, blame.Key(binary.BigEndian.Uint64(raw)))
 	}
-	return keys, true
+	return keys, s == ""
 }
 
 // applyBlame passes committed evidence and verdicts to the gateway.
--- a/io/gateway/ended.go
+++ b/io/gateway/ended.go
@@ -15,9 +15,15 @@
 // endCheckTimeout bounds the check whether the process of a replica is gone.
 const endCheckTimeout = 200 * time.Millisecond
 
-// requestKey returns the key of the client's request.
-func (x *exchange) requestKey() blame.Key {
-	return blame.RequestKey(x.r.Method, x.r.Host, x.r.Target, x.r.Weights, x.r.Body)
+// suspect returns the keys of the client's request.
+func (x *exchange) suspect() blame.Suspect {
+	if x.keys == nil {
+		x.keys = &blame.Suspect{Request: blame.RequestKey(x.r.Method, x.r.Host, x.r.Target, x.r.Weights, x.r.Body)}
+		for _, id := range x.r.SharedParts[:min(len(x.r.SharedParts), blame.MaxParts)] {
+			x.keys.Parts = append(x.keys.Parts, blame.PartKey(x.service.Name, id))
+		}
+	}
+	return *x.keys
 }
 
 // noteEnd checks, after the connection of an unanswered request was closed,
@@ -33,7 +39,7 @@
 	leaving := x.g.leaves(r)
 	x.endsUnanswered++
 	x.g.Log.Info("replica ended", "replica", r.Name, "incarnation", uint64(r.Incarnation), "request", x.r.ID, "route", x.route.Name,
-		"key", x.requestKey().String(), "parts", strings.Join(x.r.SharedParts, " "), "runs", x.runs, "leaving", leaving)
+		"key", x.suspect().Request.String(), "parts", strings.Join(x.r.SharedParts, " "), "runs", x.runs, "leaving", leaving)
 	if !leaving {
 		x.recordEnd(r)
 	}
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"papayaspoke/core/coordination/balance"
+	"papayaspoke/core/coordination/blame"
 	"papayaspoke/core/ident"
 	"papayaspoke/core/result"
 	"papayaspoke/core/routes"
@@ -72,6 +73,8 @@
 	// at least one event. connectionLost is true if its connection was closed
 	// before the answer was complete.
 	answering, connectionLost bool
+	// keys is what the request has in common with others; nil until it is needed.
+	keys *blame.Suspect
 	// onTrial is true if the request is sent although its key is suspected.
 	onTrial bool
 
@@ -385,7 +388,10 @@
 		v, ferr := x.recordRunFailure(result.New(result.UpstreamFailed, "replica %s: %w", x.replica, err))
 		return v, balance.Faulty, ferr
 	}
-	x.recordAnswer()
+	x.answering = true
+	if a.Status() < http.StatusInternalServerError {
+		x.recordAnswer()
+	}
 	_ = a.Body().Close()
 	outcome := balance.Good
 	if a.Status() >= http.StatusInternalServerError {
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -74,6 +74,7 @@
 func (x *exchange) forwardEvents(a *client.Answer, whole []byte) error {
 	x.forwardHead(a)
 	if !x.answering {
+		x.answering = true
 		x.recordAnswer()
 	}
 	now := x.g.Clock()
--- a/io/gateway/verdict.go
+++ b/io/gateway/verdict.go
@@ -83,8 +83,8 @@
 func (g *Gateway) logBlame(now time.Time, t *blame.Tracker, e blame.Entry) {
 	switch e := e.(type) {
 	case blame.Ended:
-		if d := t.Decide(now, e.Request); d.Verdict != blame.Clear {
-			g.Log.Info("request suspected", "key", d.Key.String(), "verdict", d.Verdict.String(), "ends", d.Ends, "since", d.Since, "end", e.End.String())
+		if d := t.Decide(now, e.Suspect); d.Verdict != blame.Clear {
+			g.Log.Info("request suspected", "key", d.Key.String(), "request", e.Request.String(), "verdict", d.Verdict.String(), "ends", d.Ends, "since", d.Since, "end", e.End.String())
 		}
 	case blame.Answered:
 		g.Log.Info("request cleared", "key", e.Key.String())
@@ -97,19 +97,18 @@
 // unanswered.
 func (x *exchange) recordEnd(r balance.Replica) {
 	now := x.g.Clock()
-	e := blame.Ended{End: blame.EndKey(r.Name, r.Incarnation), Request: x.requestKey(), At: now.Round(0)}
+	e := blame.Ended{End: blame.EndKey(r.Name, r.Incarnation), Suspect: x.suspect(), At: now.Round(0)}
 	x.g.ApplyBlame(e)
 	x.g.PublishBlame([]blame.Entry{e})
 }
 
 // recordAnswer records that a replica has begun to answer the request.
 func (x *exchange) recordAnswer() {
-	x.answering = true
 	if !x.g.evidence.some.Load() {
 		return
 	}
 	var cleared []blame.Entry
-	x.g.evidence.update(func(t *blame.Tracker) { cleared = t.Answered(x.g.Clock(), x.requestKey()) })
+	x.g.evidence.update(func(t *blame.Tracker) { cleared = t.Answered(x.g.Clock(), x.suspect()) })
 	if len(cleared) > 0 {
 		x.g.PublishBlame(cleared)
 		x.g.wake()
@@ -126,7 +125,7 @@
 	changed := x.g.changed
 	x.g.mu.Unlock()
 	var d blame.Decision
-	x.g.evidence.update(func(t *blame.Tracker) { d = t.Decide(x.g.Clock(), x.requestKey()) })
+	x.g.evidence.update(func(t *blame.Tracker) { d = t.Decide(x.g.Clock(), x.suspect()) })
 	return d, changed
 }
 
