Fleets of 11, 100 and 300 daemons in virtual time against deadly parts

Change: a simulation of daemons, replicas and a log that is 40 to 500 ms late, with 1 to 10 % deadly requests, one or two parts, crashes for another reason, restarts. Bounds: three sends for each part later than 3 s after the fifth crash, one in a hundred sound requests refused.

--- /dev/null
+++ b/core/coordination/blame/fleet_test.go
@@ -0,0 +1,280 @@
+package blame_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"papayaspoke/core/coordination/blame"
+	"papayaspoke/core/ident"
+)
+
+// Bounds of the platform's rule on parts that crash replicas.
+const (
+	ruleEnds   = 5
+	ruleWindow = 3 * time.Second
+	ruleSends  = 3
+)
+
+// fleetCase is a simulated fleet.
+type fleetCase struct {
+	daemons, replicas int
+	// rate is the number of requests a second, deadly the share of them that
+	// contain one of deadlyParts parts that crash replicas.
+	rate, deadly float64
+	deadlyParts  int
+	// otherEnds is the number of replicas a second that end for another reason.
+	otherEnds float64
+	// restartAt is when a third of the daemons restart; 0 for never.
+	restartAt time.Duration
+}
+
+// fleet simulates daemons that send requests to replicas and exchange evidence.
+// Its time is virtual.
+type fleet struct {
+	fleetCase
+	r        *rand.Rand
+	now      time.Time
+	trackers []*blame.Tracker
+	// pending holds entries that are on their way to a daemon, log all entries.
+	pending []delivery
+	log     []blame.Entry
+	servers []simReplica
+	waiting []simRequest
+
+	// ends are the times of ends under a deadly part, sends those of deadly
+	// requests that reached a replica.
+	ends, sends []time.Time
+	// sound and refused count the sound requests, and those that were refused.
+	sound, refused int
+}
+
+type delivery struct {
+	at     time.Time
+	daemon int
+	entry  blame.Entry
+}
+
+type simReplica struct {
+	incarnation ident.Incarnation
+	backAt      time.Time
+	running     []simRequest
+}
+
+type simRequest struct {
+	daemon int
+	s      blame.Suspect
+	deadly bool
+	// answerAt is when a replica begins to answer, or ends. trialAt is when a
+	// suspected request may be sent; retry is true for its second send.
+	answerAt, trialAt time.Time
+	retry             bool
+}
+
+const simStep = 5 * time.Millisecond
+
+func newFleet(c fleetCase, seed uint64) *fleet {
+	f := &fleet{fleetCase: c, r: rand.New(rand.NewPCG(seed, 1)), now: epoch, servers: make([]simReplica, c.replicas)}
+	for range c.daemons {
+		f.trackers = append(f.trackers, blame.New())
+	}
+	for i := range f.servers {
+		f.servers[i].incarnation = 1
+	}
+	return f
+}
+
+// upTo returns a random duration below d.
+func (f *fleet) upTo(d time.Duration) time.Duration { return time.Duration(f.r.Int64N(int64(d))) }
+
+// publish delivers an entry to all daemons, late by an exchange of the log.
+func (f *fleet) publish(es ...blame.Entry) {
+	for _, e := range es {
+		f.log = append(f.log, e)
+		for i := range f.trackers {
+			f.pending = append(f.pending, delivery{f.now.Add(40*time.Millisecond + f.upTo(460*time.Millisecond)), i, e})
+		}
+	}
+}
+
+// arrive makes a new request at a random daemon.
+func (f *fleet) arrive(n int) {
+	q := simRequest{daemon: f.r.IntN(f.daemons), deadly: f.r.Float64() < f.deadly}
+	// A few first parts, many second ones with a long tail.
+	first, second := f.r.IntN(3), int(1/(0.001+f.r.Float64()))
+	parts := []string{fmt.Sprint("f", first), fmt.Sprint("s", first, "-", second)}
+	if q.deadly {
+		parts = append(parts, fmt.Sprint("dead", f.r.IntN(f.deadlyParts)))
+	}
+	q.s = request(fmt.Sprint(n), parts...)
+	if !q.deadly {
+		f.sound++
+	}
+	f.waiting = append(f.waiting, q)
+}
+
+// consider decides on a waiting request. It returns false if the request goes on
+// waiting.
+func (f *fleet) consider(q simRequest) (simRequest, bool) {
+	t := f.trackers[q.daemon]
+	d := t.Decide(f.now, q.s)
+	switch d.Verdict {
+	case blame.Refused:
+		if !q.deadly {
+			f.refused++
+		}
+		return q, true
+	case blame.Settling:
+		return q, false
+	case blame.Suspected:
+		if q.trialAt.IsZero() {
+			q.trialAt = f.now.Add(f.upTo(time.Second))
+		}
+		if f.now.Before(q.trialAt) || !t.BeginTrial(f.now, d.Key) {
+			return q, false
+		}
+	}
+	return q, f.send(q)
+}
+
+func (f *fleet) send(q simRequest) bool {
+	i := f.r.IntN(f.replicas)
+	x := &f.servers[i]
+	if f.now.Before(x.backAt) {
+		return false
+	}
+	if q.deadly {
+		f.sends = append(f.sends, f.now)
+	}
+	q.answerAt = f.now.Add(50*time.Millisecond + f.upTo(200*time.Millisecond))
+	x.running = append(x.running, q)
+	return true
+}
+
+// end ends a replica with all that it runs. Unanswered requests are evidence and
+// are sent once more.
+func (f *fleet) end(i int) {
+	x := &f.servers[i]
+	for _, q := range x.running {
+		e := blame.Ended{End: blame.EndKey(ident.Upstream(fmt.Sprint(i)), x.incarnation), Suspect: q.s, At: f.now.Add(f.upTo(10 * time.Millisecond))}
+		f.trackers[q.daemon].Apply(f.now, e)
+		f.publish(e)
+		if !q.retry {
+			q.retry, q.trialAt = true, time.Time{}
+			f.waiting = append(f.waiting, q)
+		}
+	}
+	*x = simReplica{incarnation: x.incarnation + 1, backAt: f.now.Add(3 * time.Second)}
+}
+
+// answer lets the replicas answer, and end at deadly requests.
+func (f *fleet) answer() {
+	for i := range f.servers {
+		x := &f.servers[i]
+		if slices.ContainsFunc(x.running, func(q simRequest) bool { return q.deadly && !f.now.Before(q.answerAt) }) {
+			f.ends = append(f.ends, f.now)
+			f.end(i)
+			continue
+		}
+		x.running = slices.DeleteFunc(x.running, func(q simRequest) bool {
+			if f.now.Before(q.answerAt) {
+				return false
+			}
+			f.publish(f.trackers[q.daemon].Answered(f.now, q.s)...)
+			return true
+		})
+	}
+}
+
+func (f *fleet) deliver() {
+	f.pending = slices.DeleteFunc(f.pending, func(d delivery) bool {
+		if f.now.Before(d.at) {
+			return false
+		}
+		f.trackers[d.daemon].Apply(f.now, d.entry)
+		return true
+	})
+}
+
+func (f *fleet) restart() {
+	for i := range f.daemons / 3 {
+		f.trackers[i] = blame.New()
+		f.trackers[i].Restore(f.now, slices.Clone(f.log))
+	}
+}
+
+// run plays a time of traffic.
+func (f *fleet) run(d time.Duration) {
+	due, n := 0.0, 0
+	for ; f.now.Before(epoch.Add(d)); f.now = f.now.Add(simStep) {
+		if f.restartAt > 0 && f.now.Equal(epoch.Add(f.restartAt)) {
+			f.restart()
+		}
+		f.deliver()
+		for due += f.rate * simStep.Seconds(); due >= 1; due-- {
+			n++
+			f.arrive(n)
+		}
+		waiting := f.waiting
+		f.waiting = nil
+		for _, q := range waiting {
+			if q, done := f.consider(q); !done {
+				f.waiting = append(f.waiting, q)
+			}
+		}
+		f.answer()
+		if f.r.Float64() < f.otherEnds*simStep.Seconds() {
+			f.end(f.r.IntN(f.replicas))
+		}
+		if f.now.Sub(epoch)%(100*time.Millisecond) == 0 {
+			f.publish(f.trackers[f.r.IntN(f.daemons)].Due(f.now)...)
+		}
+	}
+}
+
+// lateSends returns how many deadly requests reached replicas later than the rule
+// allows.
+func (f *fleet) lateSends() int {
+	if len(f.ends) < ruleEnds {
+		return 0
+	}
+	late := 0
+	for _, at := range f.sends {
+		if at.After(f.ends[ruleEnds-1].Add(ruleWindow)) {
+			late++
+		}
+	}
+	return late
+}
+
+// Guards against verdicts that come too late, or on sound requests, in fleets of
+// different sizes.
+func TestFleetStopsDeadlyParts(t *testing.T) {
+	cases := map[string]fleetCase{
+		"11 daemons":              {daemons: 11, replicas: 12, rate: 80, deadly: 0.05, deadlyParts: 1},
+		"11, one in a hundred":    {daemons: 11, replicas: 12, rate: 80, deadly: 0.01, deadlyParts: 1},
+		"11, one in ten":          {daemons: 11, replicas: 12, rate: 80, deadly: 0.1, deadlyParts: 1},
+		"11, two parts":           {daemons: 11, replicas: 12, rate: 80, deadly: 0.05, deadlyParts: 2},
+		"11, replicas that crash": {daemons: 11, replicas: 12, rate: 80, deadly: 0.05, deadlyParts: 1, otherEnds: 0.5},
+		"11, only such crashes":   {daemons: 11, replicas: 12, rate: 80, deadlyParts: 1, otherEnds: 0.5},
+		"11, restarts":            {daemons: 11, replicas: 12, rate: 80, deadly: 0.05, deadlyParts: 1, restartAt: 2 * time.Second},
+		"100 daemons":             {daemons: 100, replicas: 145, rate: 600, deadly: 0.05, deadlyParts: 1},
+		"100, two parts, crashes": {daemons: 100, replicas: 145, rate: 600, deadly: 0.05, deadlyParts: 2, otherEnds: 2, restartAt: 3 * time.Second},
+		"300 daemons":             {daemons: 300, replicas: 300, rate: 600, deadly: 0.02, deadlyParts: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(5) {
+				f := newFleet(c, seed)
+				f.run(15 * time.Second)
+				t.Logf("seed %d: %d ends, %d late sends, %d of %d sound requests refused, %d entries", seed, len(f.ends), f.lateSends(), f.refused, f.sound, len(f.log))
+				assert.Check(t, f.lateSends() <= ruleSends*c.deadlyParts, "seed %d", seed)
+				assert.Check(t, 100*f.refused <= f.sound, "seed %d: %d of %d sound requests were refused", seed, f.refused, f.sound)
+			}
+		})
+	}
+}
