A refusal without an id is no promise on a connection that was used before

What was reported: a faulty replica wrote an earlier refusal once more on a kept connection; clients were told 'not run' for requests that ran, or these ran twice. Here requests that may not be repeated have a connection of their own, so that neither can happen to them. One that may be repeated was taken for not run and sent again, beyond the attempts of its route, and its last refusal could say 'not run' although it had.

Cause: a response must name its request, but a refusal without an id was let through. Evidence: TestEarlierRefusalIsNoPromise, 'without an id': two of four such requests ran twice with one attempt allowed, in each of three runs; 'with its own id' was refused before.

Change: on a reused connection a refusal must name its request too, else the request may have run.

--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -279,7 +279,9 @@
 	}
 	x.countSend()
 	h := x.g.Dialect.ParseHead(a.Status(), a.Header())
-	if h.ID != x.r.ID && (h.ID != "" || !h.NotRun) {
+	// A refusal need not name its request, but on a reused connection it may be
+	// that of an earlier one.
+	if h.ID != x.r.ID && (h.ID != "" || !h.NotRun || a.OverReused()) {
 		a.Discard()
 		outcome = balance.Faulty
 		return x.failedAfterRun(result.New(result.WrongAnswer, "replica %s sent the response to request %q", c.Replica.Name, h.ID))
--- a/io/transport/client/client.go
+++ b/io/transport/client/client.go
@@ -184,8 +184,10 @@
 	body   *body
 	// maybeDuplicate is true if the server may have received the request twice.
 	maybeDuplicate bool
-	// conn is the connection that the response arrives on.
-	conn net.Conn
+	// conn is the connection that the response arrives on. reused is true if it has
+	// carried other exchanges before.
+	conn   net.Conn
+	reused bool
 }
 
 // Status returns the HTTP status.
@@ -199,6 +201,10 @@
 // attempt may not hold for the first.
 func (a *Answer) MaybeDuplicate() bool { return a.maybeDuplicate }
 
+// OverReused reports whether the response arrived on a connection that has carried
+// other exchanges before. It may then be a late response to one of them.
+func (a *Answer) OverReused() bool { return a.reused }
+
 // Body returns the body. If the response ends early, reads fail with an error other
 // than [io.EOF].
 func (a *Answer) Body() io.ReadCloser { return a.body }
@@ -318,7 +324,7 @@
 		return nil, &Failure{maybeSent: gotConn.Load(), overFresh: !reused.Load(), cause: withoutEOF(err)}
 	}
 	b := &body{inner: resp.Body, watchdog: watch, cancel: cancel, ctx: ctx}
-	answer := &Answer{status: resp.StatusCode, header: resp.Header, body: b}
+	answer := &Answer{status: resp.StatusCode, header: resp.Header, body: b, reused: reused.Load()}
 	if c := conn.Load(); c != nil {
 		answer.conn = *c
 	}
