A resumed stream begins with the next event or is cut

What was reported: a stream broke off, the next replica answered with an error, and clients found its text in the middle of their stream. Here an answer with another status, or that is no stream, was cut before; but a 200 with events that have no id (an error as 'data:', a head as text) was passed on.

Cause: an event without an id was let through until one with an id came, which alone was checked to be the next one. Evidence: TestErrorAfterABrokenStreamReachesNobody, eleven answers of the next replica, three of them passed on before.

Change: of a resumed stream, nothing but comments may come before the event that follows the last one.

--- a/io/gateway/faulty_test.go
+++ b/io/gateway/faulty_test.go
@@ -59,3 +59,43 @@
 		})
 	}
 }
+
+// Guards against the text of an error in the middle of a stream, and against
+// streams that end as if they were complete after it.
+func TestErrorAfterABrokenStreamReachesNobody(t *testing.T) {
+	whole := func(status int, header, body string) func(w io.Writer, r *http.Request) {
+		return func(w io.Writer, r *http.Request) { writeResponse(w, r, status, header, body) }
+	}
+	const events = "Content-Type: text/event-stream\r\n"
+	cases := map[string]func(w io.Writer, r *http.Request){
+		"500":                       whole(500, "", "failed badly"),
+		"500 as a stream":           whole(500, events, "data: failed badly\n\n"),
+		"502 with a head as text":   whole(502, events, "HTTP/1.1 500 failed badly\r\n\r\n\n\n"),
+		"503, not run":              whole(503, notRunHeader+": 1\r\n", "failed badly"),
+		"421":                       whole(421, "", "failed badly"),
+		"404":                       whole(404, "", "failed badly"),
+		"200, no stream":            whole(200, "", "failed badly"),
+		"200, an event without id":  whole(200, events, "data: failed badly\n\n"),
+		"200, a head as an event":   whole(200, events, "HTTP/1.1 500 X\nfailed badly\n\n"),
+		"200, then the right event": whole(200, events, "event: error\ndata: failed badly\n\n"+eventText(3)),
+		"200, half an event":        whole(200, events, "id: 3\ndata: failed badly"),
+	}
+	for name, respond := range cases {
+		t.Run(name, func(t *testing.T) {
+			begin := func(w io.Writer, r *http.Request, _ int) bool {
+				if r.Header.Get(lastEventHeader) != "" {
+					respond(w, r)
+					return false
+				}
+				writeStreamHead(w, r)
+				writeChunk(w, eventText(1)+eventText(2))
+				return false
+			}
+			g := newTestGatewayWithLimits(t, routes.Route{Timeout: time.Second, MaxAttempts: 2}, unlimitedRetries, nil,
+				newTestReplica(t, "a", begin), newTestReplica(t, "b", begin))
+			_, body, cut := g.send(t, http.MethodPost, "/resume/x")
+			assert.Equal(t, body, eventText(1)+eventText(2))
+			assert.Assert(t, cut, "the stream ended as if it were complete")
+		})
+	}
+}
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -226,6 +226,9 @@
 	e.pending = append(e.pending[:0], e.pending[end:]...)
 	for event := range bytes.SplitSeq(whole, eventTerminator) {
 		id, ok := eventID(event)
+		if !ok && e.resumed && !isComment(event) {
+			return nil, errNotConsecutive
+		}
 		if !ok {
 			continue
 		}
@@ -251,6 +254,17 @@
 	return "", false
 }
 
+// isComment reports whether an event consists of comments only, such as a sign of
+// life.
+func isComment(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // isNextID reports whether next is the number after last.
 func isNextID(last, next string) bool {
 	a, err1 := strconv.ParseInt(last, 10, 64)
