What replicas say in their answers: leaving, and for how long they want nothing

A replica that said in an answer that it leaves was used until its announcement came; one that said in a 503 for how long it wants nothing was asked again at once.

Change: platform decodes both headers into a notice, of any answer a replica gives: to requests, orders, probes, lists. The choice of the replica keeps notices by name and incarnation, beside the announcements; requests that wait for the replica choose again, and the last check before the write looks too. Leaving is passed on to the members' records at once. If no replica returns in time the request is refused at once with the earliest return, spread by up to a fifth. Values that make no sense are ignored with a log line; left_alone counts by reason.

Ruled out: that only announcements count, since they lag and some replicas never announce it; that a later, shorter time replaces an earlier one, since each answer holds by itself.

--- a/core/coordination/balance/balance.go
+++ b/core/coordination/balance/balance.go
@@ -106,11 +106,14 @@
 	// AtLimit means that this daemon has as many requests in flight at every
 	// replica as the query allows.
 	AtLimit
+	// Quiet means that every replica that could serve the request wants none of
+	// this daemon for a while.
+	Quiet
 	// NoReplica means that the service has no replica that accepts work.
 	NoReplica
 )
 
-var reasonNames = [...]string{"found", "coming", "absent", "crowded", "nobody"}
+var reasonNames = [...]string{"found", "coming", "absent", "crowded", "quiet", "nobody"}
 
 // String returns the name used in logs.
 func (r Reason) String() string { return reasonNames[r] }
@@ -132,6 +135,8 @@
 	// consecutive ejections.
 	ejectedUntil time.Time
 	ejections    int
+	// quietUntil is until when the replica wants no requests of this daemon.
+	quietUntil time.Time
 	// avoided is true if the placer's last answer says that several daemons
 	// can't rely on the replica.
 	avoided     bool
@@ -171,8 +176,10 @@
 	// services holds the names of each service's replicas, sorted.
 	services    map[ident.Service][]ident.Upstream
 	inventories map[ident.Upstream]inventory
-	fence       ident.Fence
-	revision    uint64
+	// notices holds at most maxNotices notices.
+	notices  map[ident.Upstream]notice
+	fence    ident.Fence
+	revision uint64
 	// answeredAt is when the placer last answered.
 	answeredAt time.Time
 	// reported is what this daemon had in flight in its last report to the
@@ -188,6 +195,7 @@
 		dataCentre: dataCentre, replicas: make(map[ident.Upstream]*replicaState),
 		services:    make(map[ident.Service][]ident.Upstream),
 		inventories: make(map[ident.Upstream]inventory),
+		notices:     make(map[ident.Upstream]notice),
 	}
 }
 
@@ -204,6 +212,7 @@
 		}
 		r.Slots = max(r.Slots, 1)
 		p.Replica = r
+		b.applyNotice(p)
 		b.applyInventory(p)
 		b.services[r.Service] = append(b.services[r.Service], r.Name)
 	}
@@ -306,8 +315,8 @@
 }
 
 // Pick chooses a replica and counts the request as in flight there. The second
-// result is the reason if there is none; if the weights are being loaded, the
-// time is when to try again.
+// result is the reason if there is none; if the weights are being loaded, or
+// replicas want no requests for a while, the time is when to try again.
 func (b *Balancer) Pick(now time.Time, q Query) (Choice, Reason, time.Time) {
 	reason, at := NoReplica, time.Time{}
 	var best *replicaState
@@ -321,11 +330,15 @@
 				continue
 			}
 			r, h := p.checkWeights(now, q)
+			readyAt := h.ReadyAt
+			if r == Found && p.isQuiet(now) {
+				r, readyAt = Quiet, p.quietUntil
+			}
 			if r == Found && q.MaxInFlight > 0 && p.inFlight >= q.MaxInFlight {
 				r = AtLimit
 			}
 			if r != Found {
-				reason, at = moreSpecific(reason, at, r, h.ReadyAt)
+				reason, at = moreSpecific(reason, at, r, readyAt)
 				continue
 			}
 			cost := b.cost(now, p)
@@ -340,7 +353,7 @@
 		}
 		// A replica that failed lately is better than none, except for
 		// adapters, which can be loaded elsewhere.
-		if best != nil || reason != NoReplica {
+		if best != nil || reason != NoReplica && reason != Quiet {
 			break
 		}
 	}
@@ -361,7 +374,7 @@
 func (b *Balancer) HasFreeReplica(now time.Time, q Query) bool {
 	for _, name := range b.services[q.Service] {
 		p := b.replicas[name]
-		if p.Leaving || slices.Contains(q.Exclude, name) || p.isEjected(now) || p.inFlight+p.inFlightElsewhere >= p.Slots {
+		if p.Leaving || slices.Contains(q.Exclude, name) || p.isEjected(now) || p.isQuiet(now) || p.inFlight+p.inFlightElsewhere >= p.Slots {
 			continue
 		}
 		if r, _ := p.checkWeights(now, q); r == Found {
@@ -372,9 +385,9 @@
 }
 
 // StillAccepts reports whether the chosen replica still accepts requests.
-func (b *Balancer) StillAccepts(c Choice) bool {
+func (b *Balancer) StillAccepts(now time.Time, c Choice) bool {
 	p := b.replicas[c.Replica.Name]
-	return p != nil && p.Incarnation == c.Replica.Incarnation && !p.Leaving
+	return p != nil && p.Incarnation == c.Replica.Incarnation && !p.Leaving && !p.isQuiet(now)
 }
 
 // Leaves reports whether an incarnation of a replica has announced that it
@@ -389,10 +402,10 @@
 func (p *replicaState) isEjected(now time.Time) bool { return p.avoided || now.Before(p.ejectedUntil) }
 
 // moreSpecific returns the more informative reason. Weights that a replica is
-// loading come first, and of two such the earlier; a service without replicas
-// comes last.
+// loading come first; a service without replicas comes last. Of two equal reasons
+// with a time the earlier counts.
 func moreSpecific(old Reason, oldAt time.Time, r Reason, at time.Time) (Reason, time.Time) {
-	if old == Loading && (r != Loading || oldAt.Before(at)) || old != NoReplica && old < r {
+	if old < r || old == r && oldAt.Before(at) {
 		return old, oldAt
 	}
 	return r, at
--- a/io/daemon/placer.go
+++ b/io/daemon/placer.go
@@ -201,7 +201,7 @@
 func (c *control) executePlacement(e placement.Effects) {
 	for _, o := range e.Orders {
 		t, ok := c.target(o.Replica)
-		if !ok || t.Incarnation != o.Incarnation {
+		if !ok || t.Incarnation != o.Incarnation || c.isQuiet(t) {
 			c.postAsync(func(now time.Time) { c.orderDone(now, o, placement.Withheld) })
 			continue
 		}
@@ -209,12 +209,18 @@
 		go c.platform.sendOrder(t, o, c.placementState.placer.Fence())
 	}
 	for _, name := range e.RequestListings {
-		if t, ok := c.target(name); ok {
+		if t, ok := c.target(name); ok && !c.isQuiet(t) {
 			go c.platform.fetchListing(t)
 		}
 	}
 }
 
+// isQuiet reports whether a replica wants nothing of this daemon now.
+func (c *control) isQuiet(t Target) bool {
+	_, quiet := c.platform.gateway.IsQuiet(t.Replica, t.Incarnation)
+	return quiet
+}
+
 // postAsync posts f from the control loop itself, which must not block on its
 // own inbox.
 func (c *control) postAsync(f func(now time.Time)) { go c.post(f) }
@@ -222,7 +228,7 @@
 // target returns the current address and incarnation of a replica.
 func (c *control) target(name ident.Upstream) (Target, bool) {
 	u, ok := c.members.Upstream(name)
-	return Target{Replica: name, Incarnation: u.Version.Incarnation, Address: u.Address}, ok
+	return c.platform.targetOf(balance.Replica{Name: name, Incarnation: u.Version.Incarnation, Address: u.Address}), ok
 }
 
 // orderDone passes the verdict on an order to the placer.
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -29,6 +29,8 @@
 	Replica     ident.Upstream
 	Incarnation ident.Incarnation
 	Address     string
+	// Hear is called with what the replica says of itself in any answer.
+	Hear func(n gateway.Notice)
 }
 
 // Dialect implements the protocols of a platform's replicas and the format of
@@ -67,24 +69,37 @@
 func newPlatform(d *Daemon, dialect Dialect) *Platform {
 	conns := client.NewForReplicas(d.settings.Platform().Front().Addr())
 	p := &Platform{d: d, dialect: dialect, replicas: conns}
+	meter := newRoutedMeter(d.metrics.Scope())
 	p.gateway = gateway.New(gateway.Config{
 		DataCentre: d.dataCentre, Client: conns, Dialect: dialect.Gateway, Log: d.log,
-		RetryAllowance: d.settings.Platform().RetryAllowance(), Clock: d.clock, Observe: newRoutedMeter(d.metrics.Scope()).observe, ReservePrefill: d.reservePrompt, RequestAdmission: d.reserveAdmission,
+		RetryAllowance: d.settings.Platform().RetryAllowance(), Clock: d.clock, Observe: meter.observe, ReservePrefill: d.reservePrompt, RequestAdmission: d.reserveAdmission,
 		CoalesceDelay: d.settings.Platform().CoalesceDelay(),
 		Probe: func(ctx context.Context, r balance.Replica) bool {
-			return dialect.Probe(ctx, conns, targetOf(r)) == nil
+			return dialect.Probe(ctx, conns, p.targetOf(r)) == nil
 		},
 		ReplicaEnded: func(ctx context.Context, r balance.Replica) bool {
-			err := dialect.Probe(ctx, conns, targetOf(r))
+			err := dialect.Probe(ctx, conns, p.targetOf(r))
 			return errors.Is(err, syscall.ECONNREFUSED) || result.CodeOf(err) == result.Restarted
 		},
-		PublishBlame: p.publishBlame,
+		PublishBlame: p.publishBlame, ReplicaLeaves: p.tellLeaving, LeftAlone: meter.countLeftAlone,
 	})
 	return p
 }
 
-func targetOf(r balance.Replica) Target {
-	return Target{Replica: r.Name, Incarnation: r.Incarnation, Address: r.Address}
+func (p *Platform) targetOf(r balance.Replica) Target {
+	return Target{
+		Replica: r.Name, Incarnation: r.Incarnation, Address: r.Address,
+		Hear: func(n gateway.Notice) { p.gateway.Hear(r.Name, r.Incarnation, n) },
+	}
+}
+
+// tellLeaving tells the other daemons that an incarnation of a replica leaves.
+func (p *Platform) tellLeaving(name ident.Upstream, i ident.Incarnation) {
+	p.d.ctl.post(func(now time.Time) {
+		if u, ok := p.d.ctl.members.Upstream(name); ok && u.Version.Incarnation == i {
+			p.d.ctl.leaveReceived(now, name)
+		}
+	})
 }
 
 // Gateway returns the gateway, which serves requests of clients.
--- a/io/daemon/routed.go
+++ b/io/daemon/routed.go
@@ -82,6 +82,11 @@
 	}
 }
 
+// countLeftAlone counts a replica that is left alone since it has said so.
+func (m *routedMeter) countLeftAlone(reason string) {
+	m.scope.Tagged(map[string]string{"reason": reason}).Counter("left_alone").Inc(1)
+}
+
 // route returns the meter of a route.
 func (m *routedMeter) route(name string) *routeMeter {
 	if name == "" || m.routes[name] == nil && len(m.routes) >= maxRoutes {
--- a/io/gateway/acquire.go
+++ b/io/gateway/acquire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"papayaspoke/core/coordination/balance"
@@ -74,6 +75,9 @@
 	if reason == balance.NoReplica {
 		end = earlier(end, start.Add(maxWaitNoReplicas))
 	}
+	if reason == balance.Quiet && !readyAt.Before(end) {
+		return x.quietError(readyAt)
+	}
 	if !now.Before(end) {
 		return x.unavailableError(reason)
 	}
@@ -127,6 +131,17 @@
 	return end
 }
 
+// returnSpread is the share of the time until replicas return within which refused
+// clients return after that.
+const returnSpread = 0.2
+
+// quietError refuses a request since no replica returns in time. Clients return at
+// different times.
+func (x *exchange) quietError(readyAt time.Time) error {
+	spread := time.Duration(rand.Float64() * returnSpread * float64(readyAt.Sub(x.g.Clock())))
+	return result.New(result.NoUpstream, "service %q: %s", x.service.Name, balance.Quiet).WithRetryAfter(readyAt.Add(spread))
+}
+
 func (x *exchange) unavailableError(reason balance.Reason) error {
 	retryAt := x.g.Clock().Add(defaultRetryAfter)
 	if reason == balance.NotLoaded || reason == balance.Loading {
--- a/io/gateway/door.go
+++ b/io/gateway/door.go
@@ -41,7 +41,7 @@
 	x.g.recordAdmissionTime(c, t.At)
 	if t.Reserved {
 		x.admitted = true
-		return x.sleepUntil(ctx, t.At)
+		return x.sleepForReplica(ctx, c, t.At)
 	}
 	err := result.New(result.Overloaded, "replica %s has no room within %s", c.Replica.Name, wait).WithRetryAfter(later(t.At, now.Add(defaultRetryAfter)))
 	if slices.Contains(x.tried, c.Replica.Name) {
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -286,6 +286,7 @@
 		outcome = balance.Faulty
 		return x.failedAfterRun(result.New(result.WrongAnswer, "replica %s sent the response to request %q", c.Replica.Name, h.ID))
 	}
+	x.hear(c.Replica, a, h)
 	if h.NotRun {
 		var v disposition
 		v, outcome, err = x.handleRejection(c, a, h)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -73,10 +73,23 @@
 	Replica ident.Upstream
 }
 
+// Notice is what a replica says of itself in an answer.
+type Notice struct {
+	// Leaving is true if the replica leaves.
+	Leaving bool
+	// QuietUntil is until when it wants no requests of this daemon; zero if it does
+	// not say.
+	QuietUntil time.Time
+	// Unread describes headers that make no sense, empty if there are none.
+	Unread string
+}
+
 // Dialect translates to and from the headers that replicas understand.
 type Dialect struct {
 	Prepare   func(h http.Header, s SendInfo)
 	ParseHead func(status int, h http.Header) ResponseHead
+	// ParseNotice reads what a replica says of itself in the head of any answer.
+	ParseNotice func(status int, h http.Header, now time.Time) Notice
 	// WriteError responds to a client with an error of the gateway itself.
 	WriteError func(w http.ResponseWriter, err *result.Error, now time.Time)
 }
@@ -108,6 +121,12 @@
 	// PublishBlame commits evidence on requests that crash replicas, so that it
 	// reaches all daemons.
 	PublishBlame func(es []blame.Entry)
+	// ReplicaLeaves tells the other daemons that an incarnation of a replica has
+	// said that it leaves.
+	ReplicaLeaves func(name ident.Upstream, i ident.Incarnation)
+	// LeftAlone is called for each replica that gets no more requests because it
+	// has said so.
+	LeftAlone func(reason string)
 	// Observe is called for every finished request.
 	Observe func(o Observation)
 }
@@ -405,7 +424,15 @@
 func (g *Gateway) acceptsRequests(c balance.Choice) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.balancer.StillAccepts(c)
+	return g.balancer.StillAccepts(g.Clock(), c)
+}
+
+// watchReplica reports whether the replica of a choice still accepts requests,
+// with a channel that is closed when that may have changed.
+func (g *Gateway) watchReplica(c balance.Choice) (bool, <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.balancer.StillAccepts(g.Clock(), c), g.changed
 }
 
 func (g *Gateway) recordOutcome(c balance.Choice, o balance.Outcome, took time.Duration) {
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -39,6 +39,8 @@
 	respondingReplicaHeader = "Test-From"
 	targetReplicaHeader     = "Test-Replica"
 	minVersionHeader        = "Test-Version"
+	leavingHeader           = "Test-Leaving"
+	quietHeader             = "Test-Quiet"
 )
 
 var testDialect = Dialect{
@@ -58,6 +60,13 @@
 			Misdirected: status == http.StatusMisdirectedRequest, Replica: ident.Upstream(h.Get(respondingReplicaHeader)),
 		}
 	},
+	ParseNotice: func(_ int, h http.Header, now time.Time) Notice {
+		n := Notice{Leaving: h.Get(leavingHeader) != ""}
+		if ms, err := strconv.Atoi(h.Get(quietHeader)); err == nil {
+			n.QuietUntil = now.Add(time.Duration(ms) * time.Millisecond)
+		}
+		return n
+	},
 	WriteError: func(w http.ResponseWriter, err *result.Error, _ time.Time) {
 		w.Header().Set("Test-Code", strconv.Itoa(int(err.Code())))
 		w.WriteHeader(result.Lookup(err.Code()).HTTP)
@@ -187,7 +196,7 @@
 		},
 		Probe:        func(context.Context, balance.Replica) bool { return false },
 		ReplicaEnded: refusesConnections,
-		PublishBlame: func([]blame.Entry) {},
+		PublishBlame: func([]blame.Entry) {}, ReplicaLeaves: func(ident.Upstream, ident.Incarnation) {}, LeftAlone: func(string) {},
 	})
 	g.SetTable(table)
 	var all []balance.Replica
--- a/io/gateway/stall.go
+++ b/io/gateway/stall.go
@@ -33,6 +33,7 @@
 	// With these causes the stream is left alone.
 	errNoAlternative = errors.New("no other replica is ready to resume the stream")
 	errResponsive    = errors.New("the replica responds to a probe")
+	errQuiet         = errors.New("the replica wants no probes")
 )
 
 // clientPauseTolerance returns how long clients of a route wait for the next
@@ -140,10 +141,13 @@
 }
 
 // probe asks the replica for a sign of life: it returns errResponsive if there
-// is one, else errUnresponsive.
+// is one, else errUnresponsive. A replica that wants no requests is not asked.
 func (s *stallWatcher) probe(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	if _, quiet := s.x.g.IsQuiet(s.target.Name, s.target.Incarnation); quiet {
+		return errQuiet
+	}
 	if s.x.g.Probe(ctx, s.target) {
 		return errResponsive
 	}
--- a/io/gateway/turn.go
+++ b/io/gateway/turn.go
@@ -70,21 +70,43 @@
 		return v, err
 	}
 	x.prefillAlone = t.Isolated
-	return x.sleepUntil(ctx, t.At)
+	return x.sleepForReplica(ctx, c, t.At)
+}
+
+// sleepForReplica waits until a time, as long as the replica accepts requests.
+func (x *exchange) sleepForReplica(ctx context.Context, c balance.Choice, at time.Time) (disposition, error) {
+	for {
+		accepts, changed := x.g.watchReplica(c)
+		if !accepts {
+			return tryOther, result.New(result.NoUpstream, "replica %s left while the request waited for capacity", c.Replica.Name).WithRetryAfter(x.g.Clock())
+		}
+		v, err := x.sleepOr(ctx, at, changed)
+		if err != nil || !x.g.Clock().Before(at) {
+			return v, err
+		}
+	}
 }
 
 // sleepUntil waits until a time, or until the context is done.
 func (x *exchange) sleepUntil(ctx context.Context, at time.Time) (disposition, error) {
-	wait := at.Sub(x.g.Clock())
+	return x.sleepOr(ctx, at, nil)
+}
+
+// sleepOr waits until a time, until changed is closed or until the context is done.
+func (x *exchange) sleepOr(ctx context.Context, at time.Time, changed <-chan struct{}) (disposition, error) {
+	start := x.g.Clock()
+	wait := at.Sub(start)
 	if wait <= 0 {
 		return finished, nil
 	}
-	x.pacingDelay += wait
+	defer func() { x.pacingDelay += x.g.Clock().Sub(start) }()
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	select {
 	case <-t.C:
 		return finished, nil
+	case <-changed:
+		return finished, nil
 	case <-ctx.Done():
 		if x.g.Clock().Before(x.deadline) {
 			return giveUp, errClientGone
