--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -29,7 +29,8 @@
 	Replica     ident.Upstream
 	Incarnation ident.Incarnation
 	Address     string
-	// Hear is called with what the replica says of itself in any answer.
+	// Hear is called with what the replica says of itself in any answer; nil if
+	// nobody listens.
 	Hear func(n gateway.Notice)
 }
 
