On-call can read why a request was refused for the ends of replicas

Cause: a refusal named a hashed key only, so that nobody could tell which part of a prompt it stands for or which replicas had ended, and verdicts were not in the dump.

Nothing is decided differently.

--- a/core/coordination/blame/blame_test.go
+++ b/core/coordination/blame/blame_test.go
@@ -128,6 +128,18 @@
 	assert.Equal(t, x.Decide(at(4000), request("f")).Verdict, blame.Clear)
 }
 
+func TestDecisionsNameWhatIsNotClear(t *testing.T) {
+	x := blame.New()
+	ended(x, 0, request("d"), "a", "b", "c")
+	ended(x, 0, request("e"), "a", "b")
+	ended(x, 0, request("f"), "a")
+	got := make(map[blame.Key]blame.Verdict)
+	for _, d := range x.Decisions(at(1000)) {
+		got[d.Key] = d.Verdict
+	}
+	assert.DeepEqual(t, got, map[blame.Key]blame.Verdict{requestKey("d"): blame.Refused, requestKey("e"): blame.Suspected})
+}
+
 // Guards against memory that grows with ever new requests.
 func TestTrackerIsBoundedAndKeepsConvictions(t *testing.T) {
 	x := blame.New()
--- a/core/coordination/blame/tracker.go
+++ b/core/coordination/blame/tracker.go
@@ -306,6 +306,17 @@
 	return worst
 }
 
+// Decisions returns the decisions on all keys that are not clear, sorted by key.
+func (t *Tracker) Decisions(now time.Time) []Decision {
+	var out []Decision
+	for _, k := range slices.Sorted(maps.Keys(t.records)) {
+		if d := t.decide(now, k); d.Verdict != Clear {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
 func (t *Tracker) decide(now time.Time, k Key) Decision {
 	r := t.records[k]
 	if r == nil {
--- a/io/daemon/dump.go
+++ b/io/daemon/dump.go
@@ -47,10 +47,23 @@
 	Waiting  int            `json:"waiting"`
 	Ejected  []string       `json:"ejected"`
 	Retries  map[string]int `json:"retries"`
+	Blamed   []blamedDump   `json:"blamed"`
 	Disk     string         `json:"disk"`
 	Stopping bool           `json:"stopping"`
 }
 
+// maxBlamedDump is how many blamed keys a dump shows.
+const maxBlamedDump = 64
+
+// blamedDump is the verdict on a key of requests that have crashed replicas.
+type blamedDump struct {
+	Key     string    `json:"key"`
+	Verdict string    `json:"verdict"`
+	Ends    int       `json:"ends"`
+	Since   time.Time `json:"since"`
+	Until   time.Time `json:"until"`
+}
+
 // dump returns the state of routing, placement and the gateway.
 func (p *Platform) dump(now time.Time) *platformDump {
 	g, placer := p.gateway.State(), p.d.view.Load().state.Placer()
@@ -58,6 +71,9 @@
 		Routing: g.RoutingVersion, Routes: g.Routes, Fence: uint64(placer.Fence), Waiting: g.WaitingRequests,
 		Retries: make(map[string]int), Disk: "works", Stopping: p.stopped.Load(),
 	}
+	for _, b := range g.Blamed[:min(len(g.Blamed), maxBlamedDump)] {
+		out.Blamed = append(out.Blamed, blamedDump{Key: b.Key.String(), Verdict: b.Verdict.String(), Ends: b.Ends, Since: b.Since, Until: b.Until})
+	}
 	if placer.HoldsRole() {
 		out.Placer = string(placer.Daemon)
 	}
--- a/io/gateway/ended.go
+++ b/io/gateway/ended.go
@@ -38,7 +38,7 @@
 	}
 	leaving := x.g.leaves(r)
 	x.endsUnanswered++
-	x.g.Log.Info("replica ended", "replica", r.Name, "incarnation", uint64(r.Incarnation), "request", x.r.ID, "route", x.route.Name,
+	x.g.Log.Info("replica ended", "replica", r.Name, "incarnation", uint64(r.Incarnation), "end", blame.EndKey(r.Name, r.Incarnation).String(), "request", x.r.ID, "route", x.route.Name,
 		"key", x.suspect().Request.String(), "parts", strings.Join(x.r.SharedParts, " "), "runs", x.runs, "leaving", leaving)
 	if !leaving {
 		x.recordEnd(r)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -318,7 +318,9 @@
 	WaitingRequests  int
 	Ejected          []ident.Upstream
 	RetriesLeft      map[ident.Service]int
-	Replicas         int
+	// Blamed holds the verdicts on requests that have crashed replicas.
+	Blamed   []blame.Decision
+	Replicas int
 }
 
 // State returns a summary of the gateway's state.
@@ -328,6 +330,7 @@
 	if t := g.table.Load(); t != nil {
 		s.RoutingVersion, s.Routes = t.Version(), t.Len()
 	}
+	g.evidence.update(func(t *blame.Tracker) { s.Blamed = t.Decisions(now) })
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s.PlacerAnsweredAt, s.Ejected = g.balancer.PlacerAnsweredAt(), g.balancer.Ejected(now)
--- a/io/gateway/verdict.go
+++ b/io/gateway/verdict.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -190,9 +192,17 @@
 	return ok
 }
 
+// describeKey returns what a key of the request stands for.
+func (x *exchange) describeKey(k blame.Key) string {
+	if i := slices.Index(x.suspect().Parts, k); i >= 0 {
+		return fmt.Sprintf("part %q of the prompt (key %s)", x.r.SharedParts[i], k)
+	}
+	return fmt.Sprintf("the request (key %s)", k)
+}
+
 // suspendedError refuses a request for a verdict on it.
 func (x *exchange) suspendedError(d blame.Decision) error {
-	err := result.New(result.Suspended, "key %s: %s, %d replicas have ended under it since %s", d.Key, d.Verdict, d.Ends, d.Since.UTC().Format(time.TimeOnly))
+	err := result.New(result.Suspended, "%s is %s: %d replicas have ended under it since %s", x.describeKey(d.Key), d.Verdict, d.Ends, d.Since.UTC().Format(time.TimeOnly))
 	if d.Until.IsZero() {
 		return err.WithRetryAfter(x.g.Clock().Add(maxTrialDelay))
 	}
