Replicas that are left alone in dump and metrics

Cause: one line told when a replica was left alone; the present state was nowhere. Change: the dump names them, 'alone' counts them. TestLeftAloneNamesReplicas.

--- a/core/coordination/balance/notice.go
+++ b/core/coordination/balance/notice.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"papayaspoke/core/ident"
@@ -92,5 +93,18 @@
 	}
 }
 
+// LeftAlone returns the replicas that get no requests since they have said so,
+// sorted by name.
+func (b *Balancer) LeftAlone(now time.Time) []ident.Upstream {
+	var out []ident.Upstream
+	for name, n := range b.notices {
+		if p := b.replicas[name]; p != nil && n.incarnation == p.Incarnation && (n.leaving || p.isQuiet(now)) {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // isQuiet reports whether the replica wants no requests of this daemon now.
 func (p *replicaState) isQuiet(now time.Time) bool { return now.Before(p.quietUntil) }
--- a/core/coordination/balance/notice_test.go
+++ b/core/coordination/balance/notice_test.go
@@ -94,6 +94,15 @@
 	}
 }
 
+func TestLeftAloneNamesReplicas(t *testing.T) {
+	b := newBalancer(replica("near", "here"), replica("far", "there"), replica("other", "here"))
+	b.RecordLeaving("near", 1)
+	b.RecordQuiet("far", 1, start.Add(time.Second))
+	b.RecordLeaving("gone", 1)
+	assert.DeepEqual(t, b.LeftAlone(start), []ident.Upstream{"far", "near"})
+	assert.DeepEqual(t, b.LeftAlone(start.Add(time.Second)), []ident.Upstream{"near"})
+}
+
 // Guards against memory that grows with ever new replicas.
 func TestNoticesAreBounded(t *testing.T) {
 	b := newBalancer(replica("near", "here"))
--- a/io/daemon/dump.go
+++ b/io/daemon/dump.go
@@ -46,6 +46,7 @@
 	Heard    string         `json:"heard"`
 	Waiting  int            `json:"waiting"`
 	Ejected  []string       `json:"ejected"`
+	Alone    []string       `json:"alone"`
 	Retries  map[string]int `json:"retries"`
 	Blamed   []blamedDump   `json:"blamed"`
 	Disk     string         `json:"disk"`
@@ -71,6 +72,9 @@
 		Routing: g.RoutingVersion, Routes: g.Routes, Fence: uint64(placer.Fence), Waiting: g.WaitingRequests,
 		Retries: make(map[string]int), Disk: "works", Stopping: p.stopped.Load(),
 	}
+	for _, name := range g.LeftAlone {
+		out.Alone = append(out.Alone, string(name))
+	}
 	for _, b := range g.Blamed[:min(len(g.Blamed), maxBlamedDump)] {
 		out.Blamed = append(out.Blamed, blamedDump{Key: b.Key.String(), Verdict: b.Verdict.String(), Ends: b.Ends, Since: b.Since, Until: b.Until})
 	}
--- a/io/daemon/routed.go
+++ b/io/daemon/routed.go
@@ -125,6 +125,7 @@
 	s.Gauge("routing").Update(float64(g.RoutingVersion))
 	s.Gauge("waiting_weights").Update(float64(g.WaitingRequests))
 	s.Gauge("ejected").Update(float64(len(g.Ejected)))
+	s.Gauge("alone").Update(float64(len(g.LeftAlone)))
 	s.Gauge("blamed").Update(float64(len(g.Blamed)))
 	age := -1.0
 	if !g.PlacerAnsweredAt.IsZero() {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -317,7 +317,9 @@
 	PlacerAnsweredAt time.Time
 	WaitingRequests  int
 	Ejected          []ident.Upstream
-	RetriesLeft      map[ident.Service]int
+	// LeftAlone names the replicas that have said that they want no requests.
+	LeftAlone   []ident.Upstream
+	RetriesLeft map[ident.Service]int
 	// Blamed holds the verdicts on requests that have crashed replicas.
 	Blamed   []blame.Decision
 	Replicas int
@@ -333,7 +335,7 @@
 	g.evidence.update(func(t *blame.Tracker) { s.Blamed = t.Decisions(now) })
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s.PlacerAnsweredAt, s.Ejected = g.balancer.PlacerAnsweredAt(), g.balancer.Ejected(now)
+	s.PlacerAnsweredAt, s.Ejected, s.LeftAlone = g.balancer.PlacerAnsweredAt(), g.balancer.Ejected(now), g.balancer.LeftAlone(now)
 	for _, d := range g.demands {
 		s.WaitingRequests += d.waiting
 	}
