Verdicts end with their evidence at every daemon

What callers would have seen: five to ten minutes after the last crash, daemons that don't lead go on refusing, and an end of long ago counts with two new ones.

Cause: expired evidence was removed where convictions are proposed, which only the leader does; the others weighed it for as long as they ran. Found by reading the change; TestVerdictsEndWithTheirEvidence, four of four cases red before.

Change: evidence that has expired is not weighed, and every daemon removes it. A verdict without a leader lasts as long as its evidence, not as long as a conviction.

Why it works: each daemon decides by the time of the evidence itself.

--- a/core/coordination/blame/blame_test.go
+++ b/core/coordination/blame/blame_test.go
@@ -128,6 +128,38 @@
 	assert.Equal(t, x.Decide(at(4000), request("f")).Verdict, blame.Clear)
 }
 
+// Guards against verdicts that outlast their evidence at daemons that don't lead.
+func TestVerdictsEndWithTheirEvidence(t *testing.T) {
+	cases := map[string]struct {
+		act func(t *blame.Tracker)
+		at  int
+	}{
+		"two old ends and a new one": {func(t *blame.Tracker) {
+			ended(t, 0, request("d"), "a", "b")
+			ended(t, 400_000, request("d"), "c")
+		}, 401_000},
+		"three old ends": {func(t *blame.Tracker) { ended(t, 0, request("d"), "a", "b", "c") }, 310_000},
+		"a conviction that is over": {func(t *blame.Tracker) {
+			ended(t, 0, request("d"), "a", "b", "c")
+			t.Apply(at(800), blame.Convicted{Key: requestKey("d"), Until: at(600_800)})
+		}, 601_000},
+		"a part": {func(t *blame.Tracker) {
+			for i, name := range []string{"a", "b", "c"} {
+				ended(t, 100*i, request(fmt.Sprint(i), "dead"), name)
+			}
+		}, 310_000},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			x := blame.New()
+			c.act(x)
+			assert.Equal(t, x.Decide(at(c.at), request("d", "dead")).Verdict, blame.Clear)
+			x.Due(at(c.at + 400_000))
+			assert.Assert(t, x.Empty())
+		})
+	}
+}
+
 func TestDecisionsNameWhatIsNotClear(t *testing.T) {
 	x := blame.New()
 	ended(x, 0, request("d"), "a", "b", "c")
--- a/core/coordination/blame/tracker.go
+++ b/core/coordination/blame/tracker.go
@@ -196,7 +196,7 @@
 	clear(t.explained)
 	for _, k := range t.candidates() {
 		r := t.records[k]
-		if r.convictedUntil.IsZero() && !t.weigh(k).enough(convictAfter) {
+		if r.convictedUntil.IsZero() && !t.weigh(now, k).enough(convictAfter) {
 			r.accusedAt = time.Time{}
 			continue
 		}
@@ -248,14 +248,15 @@
 // replicas in different requests.
 func (w weight) enough(n int) bool { return w.ends >= n && (!w.part || w.requests >= minRequests) }
 
-// weigh returns the evidence against a key. Ends of the same moment count once.
-func (t *Tracker) weigh(k Key) weight {
+// weigh returns the evidence against a key that has not expired. Ends of the same
+// moment count once.
+func (t *Tracker) weigh(now time.Time, k Key) weight {
 	r := t.records[k]
 	w := weight{part: r.position > 0}
 	var last time.Time
 	seen := make(map[Key]bool)
 	for _, e := range r.ends {
-		if by, ok := t.explained[e.End]; ok && by != k {
+		if by, ok := t.explained[e.End]; ok && by != k || !now.Before(Expires(e)) {
 			continue
 		}
 		if !seen[e.Request] {
@@ -322,7 +323,7 @@
 	if r == nil {
 		return Decision{}
 	}
-	w := t.weigh(k)
+	w := t.weigh(now, k)
 	d := Decision{Key: k, Ends: w.ends, Since: w.since}
 	switch settled := r.accusedAt.Add(settleTime); {
 	case now.Before(r.convictedUntil):
@@ -333,7 +334,7 @@
 	case now.Before(settled):
 		d.Verdict, d.Until = Settling, settled
 	default:
-		d.Verdict, d.Until = Refused, r.lastAt().Add(convictionTTL)
+		d.Verdict, d.Until = Refused, r.lastAt().Add(evidenceTTL)
 	}
 	return d
 }
@@ -352,8 +353,8 @@
 	return true
 }
 
-// Due returns the convictions that are to be committed and forgets expired
-// evidence.
+// Due forgets expired evidence and returns the convictions that the leader is to
+// commit.
 func (t *Tracker) Due(now time.Time) []Entry {
 	var out []Entry
 	for _, k := range slices.Sorted(maps.Keys(t.records)) {
--- a/io/daemon/blame.go
+++ b/io/daemon/blame.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	// blameInterval is how often the leader looks for convictions that are due.
+	// blameInterval is how often daemons look for expired evidence and for
+	// convictions that are due.
 	blameInterval = 100 * time.Millisecond
 	// maxBlameBatch bounds the entries that a daemon commits at once.
 	maxBlameBatch = 64
@@ -38,9 +39,11 @@
 // commitBlame commits evidence of this daemon and, if it leads, the convictions
 // that are due.
 func (c *control) commitBlame(now time.Time) {
-	if c.leading() && !now.Before(c.nextBlameAt) {
+	if !now.Before(c.nextBlameAt) {
 		c.nextBlameAt = now.Add(blameInterval)
-		c.pendingBlame = append(c.pendingBlame, c.platform.gateway.DueBlame()...)
+		if due := c.platform.gateway.DueBlame(); c.leading() {
+			c.pendingBlame = append(c.pendingBlame, due...)
+		}
 	}
 	if len(c.pendingBlame) == 0 {
 		return
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -115,7 +115,7 @@
 	// last usage report to the placer.
 	pendingListings []placement.Listing
 	// pendingBlame holds evidence that is to be committed. nextBlameAt is when
-	// the leader next looks for convictions that are due.
+	// expired evidence and due convictions are next looked for.
 	pendingBlame []blame.Entry
 	nextBlameAt  time.Time
 	// pendingReads holds the linearizable reads that this daemon serves as the
--- a/io/gateway/verdict.go
+++ b/io/gateway/verdict.go
@@ -64,7 +64,8 @@
 	g.wake()
 }
 
-// DueBlame returns the convictions that the leader is to commit.
+// DueBlame forgets expired evidence and returns the convictions that the leader is
+// to commit.
 func (g *Gateway) DueBlame() []blame.Entry {
 	if !g.evidence.some.Load() {
 		return nil
