A kept connection to a plain service that has gone silent loses no request

What callers saw: 504 at the time limit for a request that may be repeated, while new connections to the same replica worked.

Evidence: TestSilentKeptConnectionLosesNoRequest, 504 after 2 s before.

Change: requests to plain services over a reused connection are given half of the time left, then count as run and go on within the attempts of the route and the allowance. Not for engines: they may queue a request for longer than that, and the kernel ends a connection whose other end acknowledges nothing after 3 s.

--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -31,6 +31,10 @@
 	// maxBufferedBody is the size limit of the body of a response that is not a
 	// stream: it is forwarded once it is complete.
 	maxBufferedBody = 1 << 20
+	// silentShare divides the time left: without an answer for so long, a reused
+	// connection to a plain service counts as silent. Engines may queue a request
+	// for longer.
+	silentShare = 2
 	// minTimeLeft is how much time must be left for another send to make sense.
 	minTimeLeft = 20 * time.Millisecond
 )
@@ -308,8 +312,12 @@
 		Replica: c.Replica.Name, TimeLeft: x.deadline.Sub(now), Version: x.version,
 		Priority: x.route.Priority, LastEventID: x.lastEventID,
 	})
+	var silentAt time.Time
+	if x.service.Engine == nil {
+		silentAt = now.Add(x.deadline.Sub(now) / silentShare)
+	}
 	return client.Exchange{
-		Method: x.r.Method, URL: "http://" + c.Replica.Address, Target: x.r.Target, Host: x.r.Host,
+		HeadDeadline: silentAt, Method: x.r.Method, URL: "http://" + c.Replica.Address, Target: x.r.Target, Host: x.r.Host,
 		Header: h, Body: x.r.Body, Idempotent: x.route.Repeatable() && len(x.tried) == 0,
 	}
 }
--- a/io/gateway/faulty_test.go
+++ b/io/gateway/faulty_test.go
@@ -99,3 +99,29 @@
 		})
 	}
 }
+
+// Guards against requests that are lost on a kept connection that has gone silent,
+// while new connections to the replica work.
+func TestSilentKeptConnectionLosesNoRequest(t *testing.T) {
+	var mu sync.Mutex
+	used := make(map[io.Writer]bool)
+	hold := make(chan struct{})
+	t.Cleanup(func() { close(hold) })
+	x := newTestReplica(t, "x", func(w io.Writer, r *http.Request, n int) bool {
+		mu.Lock()
+		silent := used[w]
+		used[w] = true
+		mu.Unlock()
+		if silent {
+			<-hold
+			return false
+		}
+		return respondOK(w, r, n)
+	})
+	g := newTestGatewayWithLimits(t, routes.Route{Timeout: 2 * time.Second, MaxAttempts: 2}, unlimitedRetries, nil, x)
+	for range 2 {
+		resp, _, cut := g.send(t, http.MethodPost, "/safe/x")
+		assert.Assert(t, !cut)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	}
+}
