--- a/core/coordination/balance/balance.go
+++ b/core/coordination/balance/balance.go
@@ -384,19 +384,6 @@
 	return false
 }
 
-// StillAccepts reports whether the chosen replica still accepts requests.
-func (b *Balancer) StillAccepts(now time.Time, c Choice) bool {
-	p := b.replicas[c.Replica.Name]
-	return p != nil && p.Incarnation == c.Replica.Incarnation && !p.Leaving && !p.isQuiet(now)
-}
-
-// Leaves reports whether an incarnation of a replica has announced that it
-// leaves.
-func (b *Balancer) Leaves(name ident.Upstream, i ident.Incarnation) bool {
-	p := b.replicas[name]
-	return p != nil && p.Incarnation == i && p.Leaving
-}
-
 // isEjected reports whether the replica is ejected by this daemon or avoided by
 // several.
 func (p *replicaState) isEjected(now time.Time) bool { return p.avoided || now.Before(p.ejectedUntil) }
--- a/core/coordination/balance/notice.go
+++ b/core/coordination/balance/notice.go
@@ -108,3 +108,16 @@
 
 // isQuiet reports whether the replica wants no requests of this daemon now.
 func (p *replicaState) isQuiet(now time.Time) bool { return now.Before(p.quietUntil) }
+
+// StillAccepts reports whether the chosen replica still accepts requests.
+func (b *Balancer) StillAccepts(now time.Time, c Choice) bool {
+	p := b.replicas[c.Replica.Name]
+	return p != nil && p.Incarnation == c.Replica.Incarnation && !p.Leaving && !p.isQuiet(now)
+}
+
+// Leaves reports whether an incarnation of a replica has announced that it
+// leaves.
+func (b *Balancer) Leaves(name ident.Upstream, i ident.Incarnation) bool {
+	p := b.replicas[name]
+	return p != nil && p.Incarnation == i && p.Leaving
+}
