--- a/io/daemon/placer.go
+++ b/io/daemon/placer.go
@@ -217,8 +217,7 @@
 
 // isQuiet reports whether a replica wants nothing of this daemon now.
 func (c *control) isQuiet(t Target) bool {
-	_, quiet := c.platform.gateway.IsQuiet(t.Replica, t.Incarnation)
-	return quiet
+	return c.platform.gateway.IsQuiet(t.Replica, t.Incarnation)
 }
 
 // postAsync posts f from the control loop itself, which must not block on its
--- a/io/gateway/ended.go
+++ b/io/gateway/ended.go
@@ -33,7 +33,7 @@
 func (x *exchange) noteEnd(ctx context.Context, r balance.Replica) {
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
-	if _, quiet := x.g.IsQuiet(r.Name, r.Incarnation); quiet || !x.g.ReplicaEnded(ctx, r) {
+	if x.g.IsQuiet(r.Name, r.Incarnation) || !x.g.ReplicaEnded(ctx, r) {
 		return
 	}
 	leaving := x.g.leaves(r)
--- a/io/gateway/notice.go
+++ b/io/gateway/notice.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"time"
-
 	"papayaspoke/core/coordination/balance"
 	"papayaspoke/core/ident"
 	"papayaspoke/io/transport/client"
@@ -17,11 +15,10 @@
 // hear records what the replica that answered says of itself. At the address of the
 // replica that was meant, another one may answer.
 func (x *exchange) hear(r balance.Replica, a *client.Answer, h ResponseHead) {
-	n := x.g.Dialect.ParseNotice(a.Status(), a.Header(), x.g.Clock())
 	if h.Misdirected && h.Replica != "" && h.Replica != r.Name {
 		return
 	}
-	x.g.Hear(r.Name, r.Incarnation, n)
+	x.g.Hear(r.Name, r.Incarnation, x.g.Dialect.ParseNotice(a.Status(), a.Header(), x.g.Clock()))
 }
 
 // Hear records what an incarnation of a replica says of itself.
@@ -58,10 +55,9 @@
 }
 
 // IsQuiet reports whether an incarnation of a replica wants nothing of this daemon
-// now, and until when.
-func (g *Gateway) IsQuiet(name ident.Upstream, i ident.Incarnation) (time.Time, bool) {
+// now.
+func (g *Gateway) IsQuiet(name ident.Upstream, i ident.Incarnation) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	until := g.balancer.QuietUntil(name, i)
-	return until, g.Clock().Before(until)
+	return g.Clock().Before(g.balancer.QuietUntil(name, i))
 }
--- a/io/gateway/stall.go
+++ b/io/gateway/stall.go
@@ -145,7 +145,7 @@
 func (s *stallWatcher) probe(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	if _, quiet := s.x.g.IsQuiet(s.target.Name, s.target.Incarnation); quiet {
+	if s.x.g.IsQuiet(s.target.Name, s.target.Incarnation) {
 		return errQuiet
 	}
 	if s.x.g.Probe(ctx, s.target) {
