--- a/review/5/main.go
+++ b/review/5/main.go
@@ -1,25 +1,88 @@
 //go:build review
 
-// A machine is killed right after it has acknowledged that a replica is gone.
+// One part of prompts crashes each replica that begins to write an answer on it.
+// The part after it is that of a customer, who asks a few times.
 package main
 
 import (
 	"fmt"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
 	"papayaspoke/review/stand"
 )
 
-// drain is the bound drainMs.
-const drain = 2 * time.Second
+const (
+	// away is how long a crashed replica is away.
+	away = 3 * time.Second
+	// stableWindow is the bound stableWindowMs.
+	stableWindow = 3 * time.Second
+	replicas     = 8
+	// maxLate is the bound of the rule.
+	maxLate = 3
+	// customers is the number of customers, perCustomer how many bad requests each
+	// of them sends, one each pause.
+	customers, perCustomer = 10, 4
+	pause                  = 900 * time.Millisecond
+	// badPart crashes replicas, firstPart is shared by all requests.
+	badPart, firstPart = "bad0", "f1f1"
+)
+
+// world is the state of the replicas.
+type world struct {
+	*stand.World
+	mu sync.Mutex
+	// crashes holds the times of the crashes, arrivals those at which a request
+	// with the part reached a replica.
+	crashes, arrivals []time.Time
+}
+
+// generate plays a replica.
+func (w *world) generate(r **stand.Replica) http.HandlerFunc {
+	return func(rw http.ResponseWriter, q *http.Request) {
+		switch q.URL.Path {
+		case "/-/report":
+			_, _ = fmt.Fprint(rw, `{"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"sequence":0,"queued":0,"active":0,"kvUsed":0,"kvTotal":100000,"handles":0,"available":{"inMemory":["m"],"onDisk":["m"]}}`)
+			return
+		case "/-/order":
+			rw.WriteHeader(http.StatusOK)
+			return
+		}
+		if strings.Contains(q.Header.Get("X-Prompt-Prefix"), badPart+":") {
+			w.mu.Lock()
+			w.arrivals = append(w.arrivals, time.Now())
+			w.mu.Unlock()
+			w.Note("bad request %s reaches %s: %s", q.Header.Get("X-Request-Id"), (*r).ID, q.Header.Get("X-Prompt-Prefix"))
+			if w.Trouble {
+				time.Sleep(50 * time.Millisecond)
+				w.mu.Lock()
+				w.crashes = append(w.crashes, time.Now())
+				w.mu.Unlock()
+				go w.crash(*r)
+				<-q.Context().Done()
+				return
+			}
+		}
+		rw.Header().Set("Content-Type", "text/event-stream")
+		rw.Header().Set("X-Response-Signature", (*r).ID)
+		rw.Header().Set("X-Weight-Versions", "1")
+		for i := 1; i <= 10; i++ {
+			time.Sleep(20 * time.Millisecond)
+			_, _ = fmt.Fprintf(rw, "id: %d\ndata: token%d\n\n", i, i)
+			_ = http.NewResponseController(rw).Flush()
+		}
+	}
+}
 
-// arrival is a request that reached a replica.
-type arrival struct {
-	at          time.Time
-	replica, id string
+func (w *world) crash(r *stand.Replica) {
+	r.Crash()
+	time.Sleep(away)
+	if err := r.Start(); err != nil {
+		w.Note("replica %s does not come back: %v", r.ID, err)
+	}
 }
 
 func main() {
@@ -27,106 +90,71 @@
 	for _, z := range []string{"piraeus", "marousi", "glyfada"} {
 		specs = append(specs, stand.Spec{Name: "front-" + z + "-1", Zone: z, Disk: true}, stand.Spec{Name: "front-" + z + "-2", Zone: z})
 	}
-	w, err := stand.New(os.Args[1], specs, []string{"front-piraeus-1", "front-marousi-1", "front-glyfada-1"})
+	base, err := stand.New(os.Args[1], specs, []string{"front-piraeus-1", "front-marousi-1", "front-glyfada-1"})
 	if err != nil {
 		fmt.Println(err)
 		os.Exit(stand.NotRun)
 	}
+	w := &world{World: base}
 	if err := w.StartAll(); err != nil {
 		w.Finish(stand.NotRun, "start: %v", err)
 	}
-	var mu sync.Mutex
-	var arrivals []arrival
-	leaving := map[string]bool{}
-	handler := func(id string) http.HandlerFunc {
-		return func(rw http.ResponseWriter, q *http.Request) {
-			mu.Lock()
-			arrivals = append(arrivals, arrival{time.Now(), id, q.Header.Get("X-Request-Id")})
-			if leaving[id] {
-				rw.Header().Set("Server-Leaving", "1")
-			}
-			mu.Unlock()
-			rw.Header().Set("X-Response-Signature", id)
-			_, _ = fmt.Fprintf(rw, "rota by %s", id)
-		}
-	}
-	var replicas []*stand.Replica
-	for i, z := range []string{"piraeus", "marousi", "glyfada"} {
-		id := fmt.Sprintf("i-%d", i+1)
-		r := w.NewReplica(id, "desk", z, 6, "", handler(id))
+	for i := range replicas {
+		zone := []string{"piraeus", "marousi", "glyfada"}[i%3]
+		var r *stand.Replica
+		r = w.NewReplica(fmt.Sprintf("i-%d", i+1), "scribe", zone, 64, `,"stage":"both","models":[{"name":"m","version":1,"adapters":[]}]`, w.generate(&r))
 		if err := r.Start(); err != nil {
 			w.Finish(stand.NotRun, "replica: %v", err)
 		}
-		replicas = append(replicas, r)
 	}
-	config := stand.Config(7, stand.Route("read-rota", "/rota/", "safe", "desk", 2500, 150, 2, ""), stand.PlainService("desk"))
-	if w.PutConfig(config, 20*time.Second) == nil || !w.AwaitReady(20*time.Second) {
+	route := stand.Route("visit-note", "/note/", "streaming", "scribe", 15000, 1000, 1, `,"sessionAffinity":true,"resumable":false,"targetGapMs":300`)
+	service := `{"name":"scribe","healthPath":"/healthz","maxConnections":390,"protocol":"h1","tls":false,"engine":{"slots":64,"kvCacheTokens":131196,"kvBytes":131072,"linkMbps":280000.0,"stride":2,"models":[{"name":"m","modelSize":42700.0,"loadTimeS":2.5,"adapters":0,"adapterMb":40.0,"warmS":0.78,"diskS":1.1}],"modelSize":45000.0,"adapterSlots":20,"loadsPerS":2.9}}`
+	if w.PutConfig(stand.Config(7, route, service), 20*time.Second) == nil || !w.AwaitReady(20*time.Second) {
 		w.Finish(stand.NotRun, "the system did not start")
 	}
+	time.Sleep(4 * time.Second)
 	n := 0
-	request := func(m *stand.Machine) int {
+	send := func(prompt string) bool {
 		n++
+		m := w.Machines[n%len(w.Machines)]
 		id := fmt.Sprintf("q-%d", n)
-		status, _, body := stand.CallWithin(2500*time.Millisecond, http.MethodGet, m.Front, "/rota/x", "", "Host", stand.Host, "X-Request-Id", id, "X-Request-Deadline", "2500")
-		w.Note("request %s to %s: %d %.60s", id, m.Name, status, body)
-		return status
+		parts := fmt.Sprintf("%s,%x:100", prompt, 0xe000+n)
+		status, _, answer := stand.CallWithin(15*time.Second, http.MethodPost, m.Front, fmt.Sprintf("/note/%d", n), fmt.Sprintf(`{"n":%d}`, n), "Host", stand.Host, "X-Request-Id", id,
+			"X-Request-Deadline", "15000", "X-Model", "m", "X-Token-Usage", "400,20", "X-Prompt-Prefix", parts)
+		w.Note("request %s with %s to %s: %d, %d events", id, parts, m.Name, status, strings.Count(string(answer), "\n\n"))
+		return status == http.StatusOK && strings.Contains(string(answer), "id: 10\n")
 	}
-	// All machines know all replicas and serve.
-	time.Sleep(3 * time.Second)
-	for range 4 {
-		for _, m := range w.Machines {
-			if request(m) != http.StatusOK {
-				w.Finish(stand.NotRun, "a request before the disruption was not served")
-			}
+	customer := func(c int) string { return fmt.Sprintf("c%02x:100", c) }
+	// Sound requests share the first part and the customers' parts.
+	for c := range customers {
+		if !send(firstPart + ":100," + customer(c)) {
+			w.Finish(stand.NotRun, "a request before the disruption was not served")
 		}
 	}
-	// A quiet moment, longer than stableWindowMs.
-	time.Sleep(3500 * time.Millisecond)
-	gone, by := replicas[0], w.Machine("front-glyfada-2")
-	gone.StopBeats()
-	mu.Lock()
-	leaving[gone.ID] = true
-	mu.Unlock()
-	status, _, _ := stand.CallWithin(time.Second, http.MethodDelete, by.Control, "/-/instances/"+gone.ID, "")
-	acked := time.Now()
-	if w.Trouble {
-		w.Kill(by)
-	}
-	w.Note("replica %s is gone: %s answered %d; it serves on for some seconds", gone.ID, by.Name, status)
-	if status != http.StatusOK {
-		w.Finish(stand.NotRun, "the replica got no ack")
-	}
-	time.Sleep(time.Until(acked.Add(drain + 300*time.Millisecond)))
-	sent := time.Now()
-	// One request each, at the same moment: the answer of one can't tell the others.
-	var wait sync.WaitGroup
-	for _, m := range w.Machines {
-		if m == by {
-			continue
-		}
-		for range 3 {
-			n++
-			id := fmt.Sprintf("q-%d", n)
-			wait.Add(1)
-			go func() {
-				defer wait.Done()
-				status, _, body := stand.CallWithin(2500*time.Millisecond, http.MethodGet, m.Front, "/rota/x", "", "Host", stand.Host, "X-Request-Id", id, "X-Request-Deadline", "2500")
-				w.Note("request %s to %s: %d %.60s", id, m.Name, status, body)
-			}()
+	served, sound := 0, 0
+	for c := range customers {
+		for i := range perCustomer {
+			send(firstPart + ":100," + badPart + ":100," + customer(c))
+			// Meanwhile others send sound requests, each customer in turn.
+			sound++
+			if send(firstPart + ":100," + customer((c+2+2*i)%customers)) {
+				served++
+			}
+			time.Sleep(pause)
 		}
 	}
-	wait.Wait()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	late := 0
-	mu.Lock()
-	for _, a := range arrivals {
-		if a.replica == gone.ID && a.at.After(sent) {
-			late++
-			w.Note("request %s reached %s %.3f s after the ack", a.id, a.replica, a.at.Sub(acked).Seconds())
+	if len(w.crashes) >= 5 {
+		for _, at := range w.arrivals {
+			if at.After(w.crashes[4].Add(stableWindow)) {
+				late++
+			}
 		}
 	}
-	mu.Unlock()
-	if late > 0 {
-		w.Finish(stand.Broken, "DRAIN broken: %d requests reached %s more than drainMs after the ack", late, gone.ID)
+	if late > maxLate {
+		w.Finish(stand.Broken, "BUDGET broken: %d crashes; %d requests with the part arrived later than stableWindowMs after the fifth, at most %d; sound requests served %d of %d", len(w.crashes), late, maxLate, served, sound)
 	}
-	w.Finish(stand.Held, "held: no request reached %s later than drainMs after the ack", gone.ID)
+	w.Finish(stand.Held, "held: %d crashes; %d requests with the part arrived later than stableWindowMs after the fifth; sound requests served %d of %d", len(w.crashes), late, served, sound)
 }
