--- a/review/3/main.go
+++ b/review/3/main.go
@@ -30,30 +30,32 @@
 	for _, z := range zones {
 		specs = append(specs, stand.Spec{Name: "front-" + z + "-1", Zone: z, Disk: true}, stand.Spec{Name: "front-" + z + "-2", Zone: z})
 	}
-	w, err := stand.New(os.Args[1], specs, []string{"front-piraeus-2", "front-marousi-2", "front-glyfada-2"})
+	// The seeds are all that differs without the disruption.
+	seeds := []string{"front-piraeus-2", "front-marousi-2", "front-glyfada-2"}
+	if !stand.Trouble() {
+		seeds = []string{"front-piraeus-1", "front-marousi-1", "front-glyfada-1"}
+	}
+	w, err := stand.New(os.Args[1], specs, seeds)
 	if err != nil {
 		fmt.Println(err)
 		os.Exit(stand.NotRun)
 	}
-	// The order of the starts is all that differs without the disruption.
 	other := w.Machine("front-glyfada-1")
 	start := time.Now()
 	for _, m := range w.Machines {
-		if w.Trouble && m == other {
+		if m == other {
 			continue
 		}
 		if err := w.Start(m, true); err != nil {
 			w.Finish(stand.NotRun, "start: %v", err)
 		}
 	}
-	if w.Trouble {
-		time.Sleep(time.Until(start.Add(startSpread)))
-		if err := w.Start(other, true); err != nil {
-			w.Finish(stand.NotRun, "start: %v", err)
-		}
+	time.Sleep(time.Until(start.Add(startSpread)))
+	if err := w.Start(other, true); err != nil {
+		w.Finish(stand.NotRun, "start: %v", err)
 	}
 	desk := w.NewReplica("i-1", "desk", "piraeus", 6, "", func(rw http.ResponseWriter, q *http.Request) {
-		rw.Header().Set("X-Response-Signature", "signed")
+		rw.Header().Set(stand.Name("signature"), "signed")
 		_, _ = fmt.Fprintf(rw, "rota of %s", q.URL.Path)
 	})
 	if err := desk.Start(); err != nil {
@@ -69,7 +71,7 @@
 	for range 3 {
 		for _, m := range w.Machines {
 			sent++
-			status, _, body := stand.CallWithin(2500*time.Millisecond, http.MethodGet, m.Front, "/rota/x", "", "Host", stand.Host, "X-Request-Id", fmt.Sprint("q-", sent), "X-Request-Deadline", "2500")
+			status, _, body := stand.CallWithin(2500*time.Millisecond, http.MethodGet, m.Front, "/rota/x", "", "Host", stand.Host, "X-Request-Id", fmt.Sprint("q-", sent), stand.Name("deadline"), "2500")
 			w.Note("request to %s: %d %.80s", m.Name, status, body)
 			if status == http.StatusOK {
 				served++
--- a/review/4/main.go
+++ b/review/4/main.go
@@ -43,11 +43,11 @@
 // generate plays a replica: each event holds one token.
 func (w *world) generate(r **stand.Replica) http.HandlerFunc {
 	return func(rw http.ResponseWriter, q *http.Request) {
-		if q.URL.Path == "/-/report" {
+		if q.URL.Path == stand.Name("path-report") {
 			_, _ = fmt.Fprint(rw, `{"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"sequence":0,"queued":0,"active":0,"kvUsed":0,"kvTotal":100000,"handles":0,"available":{"inMemory":["m"],"onDisk":["m"]}}`)
 			return
 		}
-		if q.URL.Path == "/-/order" {
+		if q.URL.Path == stand.Name("path-order") {
 			rw.WriteHeader(http.StatusOK)
 			return
 		}
@@ -61,7 +61,7 @@
 			w.Note("bad request %s reaches %s", q.Header.Get("X-Request-Id"), (*r).ID)
 		}
 		rw.Header().Set("Content-Type", "text/event-stream")
-		rw.Header().Set("X-Response-Signature", (*r).ID)
+		rw.Header().Set(stand.Name("signature"), (*r).ID)
 		rw.Header().Set("X-Weight-Versions", "1")
 		start := 1
 		if last := q.Header.Get("Last-Event-Id"); last != "" {
@@ -118,7 +118,7 @@
 		}
 	}
 	route := stand.Route("visit-note", "/note/", "streaming", "scribe", 15000, 1000, 2, `,"sessionAffinity":true,"resumable":true,"targetGapMs":300`)
-	service := `{"name":"scribe","healthPath":"/healthz","maxConnections":390,"protocol":"h1","tls":false,"engine":{"slots":64,"kvCacheTokens":131196,"kvBytes":131072,"linkMbps":280000.0,"stride":1,"models":[{"name":"m","modelSize":42700.0,"loadTimeS":2.5,"adapters":0,"adapterMb":40.0,"warmS":0.78,"diskS":1.1}],"modelSize":45000.0,"adapterSlots":20,"loadsPerS":2.9}}`
+	service := fmt.Sprintf(stand.Name("engine-service"), 1)
 	if w.PutConfig(stand.Config(7, route, service), 20*time.Second) == nil || !w.AwaitReady(20*time.Second) {
 		w.Finish(stand.NotRun, "the system did not start")
 	}
@@ -128,7 +128,7 @@
 		n++
 		id := fmt.Sprintf("q-%d", n)
 		status, _, answer := stand.CallWithin(15*time.Second, http.MethodPost, m.Front, "/note/x", body, "Host", stand.Host, "X-Request-Id", id,
-			"X-Request-Deadline", "15000", "X-Model", "m", "X-Token-Usage", "100,20", "X-Prompt-Prefix", part+":100")
+			stand.Name("deadline"), "15000", stand.Name("model"), "m", stand.Name("tokens"), "100,20", stand.Name("parts"), part+":100")
 		w.Note("request %s (%s) to %s: %d, %d events", id, body, m.Name, status, strings.Count(string(answer), "\n\n"))
 		return status == http.StatusOK && strings.Contains(string(answer), "id: 20\n")
 	}
--- a/review/5/main.go
+++ b/review/5/main.go
@@ -44,18 +44,18 @@
 func (w *world) generate(r **stand.Replica) http.HandlerFunc {
 	return func(rw http.ResponseWriter, q *http.Request) {
 		switch q.URL.Path {
-		case "/-/report":
+		case stand.Name("path-report"):
 			_, _ = fmt.Fprint(rw, `{"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"sequence":0,"queued":0,"active":0,"kvUsed":0,"kvTotal":100000,"handles":0,"available":{"inMemory":["m"],"onDisk":["m"]}}`)
 			return
-		case "/-/order":
+		case stand.Name("path-order"):
 			rw.WriteHeader(http.StatusOK)
 			return
 		}
-		if strings.Contains(q.Header.Get("X-Prompt-Prefix"), badPart+":") {
+		if strings.Contains(q.Header.Get(stand.Name("parts")), badPart+":") {
 			w.mu.Lock()
 			w.arrivals = append(w.arrivals, time.Now())
 			w.mu.Unlock()
-			w.Note("bad request %s reaches %s: %s", q.Header.Get("X-Request-Id"), (*r).ID, q.Header.Get("X-Prompt-Prefix"))
+			w.Note("bad request %s reaches %s: %s", q.Header.Get("X-Request-Id"), (*r).ID, q.Header.Get(stand.Name("parts")))
 			if w.Trouble {
 				time.Sleep(50 * time.Millisecond)
 				w.mu.Lock()
@@ -67,7 +67,7 @@
 			}
 		}
 		rw.Header().Set("Content-Type", "text/event-stream")
-		rw.Header().Set("X-Response-Signature", (*r).ID)
+		rw.Header().Set(stand.Name("signature"), (*r).ID)
 		rw.Header().Set("X-Weight-Versions", "1")
 		for i := 1; i <= 10; i++ {
 			time.Sleep(20 * time.Millisecond)
@@ -108,7 +108,7 @@
 		}
 	}
 	route := stand.Route("visit-note", "/note/", "streaming", "scribe", 15000, 1000, 1, `,"sessionAffinity":true,"resumable":false,"targetGapMs":300`)
-	service := `{"name":"scribe","healthPath":"/healthz","maxConnections":390,"protocol":"h1","tls":false,"engine":{"slots":64,"kvCacheTokens":131196,"kvBytes":131072,"linkMbps":280000.0,"stride":2,"models":[{"name":"m","modelSize":42700.0,"loadTimeS":2.5,"adapters":0,"adapterMb":40.0,"warmS":0.78,"diskS":1.1}],"modelSize":45000.0,"adapterSlots":20,"loadsPerS":2.9}}`
+	service := fmt.Sprintf(stand.Name("engine-service"), 2)
 	if w.PutConfig(stand.Config(7, route, service), 20*time.Second) == nil || !w.AwaitReady(20*time.Second) {
 		w.Finish(stand.NotRun, "the system did not start")
 	}
@@ -120,7 +120,7 @@
 		id := fmt.Sprintf("q-%d", n)
 		parts := fmt.Sprintf("%s,%x:100", prompt, 0xe000+n)
 		status, _, answer := stand.CallWithin(15*time.Second, http.MethodPost, m.Front, fmt.Sprintf("/note/%d", n), fmt.Sprintf(`{"n":%d}`, n), "Host", stand.Host, "X-Request-Id", id,
-			"X-Request-Deadline", "15000", "X-Model", "m", "X-Token-Usage", "400,20", "X-Prompt-Prefix", parts)
+			stand.Name("deadline"), "15000", stand.Name("model"), "m", stand.Name("tokens"), "400,20", stand.Name("parts"), parts)
 		w.Note("request %s with %s to %s: %d, %d events", id, parts, m.Name, status, strings.Count(string(answer), "\n\n"))
 		return status == http.StatusOK && strings.Contains(string(answer), "id: 10\n")
 	}
--- a/review/stand/config.go
+++ b/review/stand/config.go
@@ -9,7 +9,7 @@
 
 // Route returns a route of a config.
 func Route(name, prefix, kind, service string, timeoutMs, targetMs, attempts int, more string) string {
-	return fmt.Sprintf(`{"name":%q,"host":%q,"pathPrefix":%q,"kind":%q,"timeoutMs":%d,"targetLatencyMs":%d,"priority":1,"service":%q,"maxAttempts":%d%s}`,
+	return fmt.Sprintf(Name("route"),
 		name, Host, prefix, kind, timeoutMs, targetMs, service, attempts, more)
 }
 
--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -90,22 +90,12 @@
 // Close ends the replica.
 func (r *Replica) Close() { r.Crash() }
 
-// StopBeats ends the status reports.
-func (r *Replica) StopBeats() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.stop != nil {
-		close(r.stop)
-		r.stop = nil
-	}
-}
-
 func (r *Replica) serve(w http.ResponseWriter, q *http.Request) {
-	w.Header().Set("X-Instance-Id", r.ID)
+	w.Header().Set(Name("instance"), r.ID)
 	if id := q.Header.Get("X-Request-Id"); id != "" {
 		w.Header().Set("X-Request-Id", id)
 	}
-	if t := q.Header.Get("X-Target-Instance"); t != "" && t != r.ID {
+	if t := q.Header.Get(Name("target")); t != "" && t != r.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -130,7 +120,7 @@
 			if !m.Running() {
 				continue
 			}
-			if status, _, _ := CallWithin(time.Second, http.MethodPut, m.Control, "/-/instances/"+r.ID, body); status == http.StatusOK {
+			if status, _, _ := CallWithin(time.Second, http.MethodPut, m.Control, Name("path-instances")+r.ID, body); status == http.StatusOK {
 				break
 			}
 		}
--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -59,6 +59,9 @@
 	replicas           []*Replica
 }
 
+// Trouble reports whether the script runs with its disruption.
+func Trouble() bool { return os.Getenv("TROUBLE") != "0" }
+
 // New prepares a deployment. Seeds are the names of three machines, in the order
 // of the settings. The record is written to the folder of the case.
 func New(folder string, specs []Spec, seeds []string) (*World, error) {
@@ -74,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &World{Trouble: os.Getenv("TROUBLE") != "0", binary: binary, dir: dir, start: time.Now(), record: record}
+	w := &World{Trouble: Trouble(), binary: binary, dir: dir, start: time.Now(), record: record}
 	net2 := 80 + os.Getpid()%40
 	if w.port, err = freePorts(fmt.Sprintf("127.%d.1.1", net2)); err != nil {
 		return nil, err
@@ -187,7 +190,7 @@
 	}
 	defer func() { _ = log.Close() }()
 	cmd := exec.Command(w.binary, "run")
-	cmd.Env = append(os.Environ(), "PAPAYASPOKE_BOOT="+path)
+	cmd.Env = append(os.Environ(), Name("settings-file")+"="+path)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
@@ -321,7 +324,7 @@
 			time.Sleep(20 * time.Millisecond)
 			continue
 		}
-		status, _, body := CallWithin(time.Second, http.MethodPut, m.Control, "/-/config", config)
+		status, _, body := CallWithin(time.Second, http.MethodPut, m.Control, Name("path-config"), config)
 		if status == http.StatusOK {
 			w.Note("config acknowledged by %s", m.Name)
 			return m
@@ -340,7 +343,7 @@
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		all := true
 		for _, m := range ms {
-			if status, _, _ := CallWithin(time.Second, http.MethodGet, m.Ready, "/-/readyz", ""); status != http.StatusOK {
+			if status, _, _ := CallWithin(time.Second, http.MethodGet, m.Ready, Name("path-ready"), ""); status != http.StatusOK {
 				all = false
 				break
 			}
