--- a/review/3/main.go
+++ b/review/3/main.go
@@ -54,7 +54,7 @@
 	if err := w.Start(other, true); err != nil {
 		w.Finish(stand.NotRun, "start: %v", err)
 	}
-	desk := w.NewReplica("i-1", "desk", "piraeus", 6, "", func(rw http.ResponseWriter, q *http.Request) {
+	desk := w.NewReplica("i-1", "desk", "piraeus", 6, nil, func(rw http.ResponseWriter, q *http.Request) {
 		rw.Header().Set(stand.Name("signature"), "signed")
 		_, _ = fmt.Fprintf(rw, "rota of %s", q.URL.Path)
 	})
--- a/review/5/main.go
+++ b/review/5/main.go
@@ -41,14 +41,9 @@
 }
 
 // generate plays a replica.
-func (w *world) generate(r **stand.Replica) http.HandlerFunc {
+func (w *world) generate(r **stand.Replica, e *stand.Engine) http.HandlerFunc {
 	return func(rw http.ResponseWriter, q *http.Request) {
-		switch q.URL.Path {
-		case stand.Name("path-report"):
-			_, _ = fmt.Fprint(rw, `{"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"sequence":0,"queued":0,"active":0,"kvUsed":0,"kvTotal":100000,"handles":0,"available":{"inMemory":["m"],"onDisk":["m"]}}`)
-			return
-		case stand.Name("path-order"):
-			rw.WriteHeader(http.StatusOK)
+		if e.Serve(rw, q) {
 			return
 		}
 		if strings.Contains(q.Header.Get(stand.Name("parts")), badPart+":") {
@@ -61,7 +56,7 @@
 				w.mu.Lock()
 				w.crashes = append(w.crashes, time.Now())
 				w.mu.Unlock()
-				go w.crash(*r)
+				go w.crash(*r, e)
 				<-q.Context().Done()
 				return
 			}
@@ -77,8 +72,9 @@
 	}
 }
 
-func (w *world) crash(r *stand.Replica) {
+func (w *world) crash(r *stand.Replica, e *stand.Engine) {
 	r.Crash()
+	e.Crashed()
 	time.Sleep(away)
 	if err := r.Start(); err != nil {
 		w.Note("replica %s does not come back: %v", r.ID, err)
@@ -102,7 +98,8 @@
 	for i := range replicas {
 		zone := []string{"piraeus", "marousi", "glyfada"}[i%3]
 		var r *stand.Replica
-		r = w.NewReplica(fmt.Sprintf("i-%d", i+1), "scribe", zone, 64, `,"stage":"both","models":[{"name":"m","version":1,"adapters":[]}]`, w.generate(&r))
+		e := &stand.Engine{}
+		r = w.NewReplica(fmt.Sprintf("i-%d", i+1), "scribe", zone, 64, e.Describe, w.generate(&r, e))
 		if err := r.Start(); err != nil {
 			w.Finish(stand.NotRun, "replica: %v", err)
 		}
--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -24,14 +24,15 @@
 	state    string
 	server   *http.Server
 	stop     chan struct{}
-	// extra is JSON that the announcement also holds, such as models.
-	extra string
+	// extra returns JSON that the announcement also holds, such as models; nil for
+	// none.
+	extra func() string
 	conns map[net.Conn]bool
 }
 
-// NewReplica returns a replica that doesn't run yet. Extra is added to what it
-// says of itself, such as `,"models":[]`.
-func (w *World) NewReplica(id, service, zone string, slots int, extra string, handler http.HandlerFunc) *Replica {
+// NewReplica returns a replica that doesn't run yet. Extra returns what is added
+// to what it says of itself, such as `,"models":[]`; nil for nothing.
+func (w *World) NewReplica(id, service, zone string, slots int, extra func() string, handler http.HandlerFunc) *Replica {
 	r := &Replica{ID: id, Service: service, Zone: zone, world: w, slots: slots, handler: handler, extra: extra, state: "ready"}
 	w.replicas = append(w.replicas, r)
 	return r
@@ -104,11 +105,15 @@
 
 // Announcement returns the next status report.
 func (r *Replica) Announcement(state string) string {
+	extra := ""
+	if r.extra != nil {
+		extra = r.extra()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sequence++
 	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"coldMs":0,"sequence":%d,"born":%d%s}`,
-		r.Service, r.Address, r.Zone, r.slots, state, r.sequence, r.born, r.extra)
+		r.Service, r.Address, r.Zone, r.slots, state, r.sequence, r.born, extra)
 }
 
 // beat sends a status report each 1.2 s to the first machine that takes it.
