--- a/core/coordination/witness/round.go
+++ b/core/coordination/witness/round.go
@@ -170,6 +170,7 @@
 	}
 	w.recordAck(resp)
 	w.lastResponseAt = now
+	w.lag.name(now, resp.From, resp.Applied, w.applied)
 	w.raiseVisible(resp.Visible)
 	for _, r := range w.rounds {
 		if r.number == resp.Round {
--- a/core/coordination/witness/witness.go
+++ b/core/coordination/witness/witness.go
@@ -32,6 +32,7 @@
 	follower bool
 	// lastResponseAt is when the last response arrived.
 	lastResponseAt time.Time
+	lag            lag
 	// incarnation is the incarnation of this run. It increases only before the
 	// run becomes active.
 	incarnation ident.Incarnation
@@ -166,6 +167,7 @@
 	case Applied:
 		w.applied = max(w.applied, ev.Index)
 		w.delivered = max(w.delivered, w.applied)
+		w.lag.caughtUp(w.applied)
 		w.witnesses = ev.Witnesses
 	case LinearizableRead:
 		// The first read suffices; a later one would only raise the floor.
@@ -241,6 +243,7 @@
 	if a := w.acks[req.From]; a != nil {
 		a.missed = false
 	}
+	w.lag.name(now, req.From, req.Applied, w.applied)
 	w.deliver(req.Entries)
 	if req.Applied > w.delivered {
 		w.fetch(now, req.From)
@@ -292,6 +295,7 @@
 		return
 	}
 	w.fetchUntil = now.Add(fetchTimeout)
+	w.lag.asked, w.lag.askedAt = d, now
 	req := w.newRequest(0, d)
 	req.WantEntries = true
 	w.emit(Send{To: d, Request: req})
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -38,8 +38,9 @@
 	clock      func() time.Time
 
 	// inbox and done may be used by any goroutine.
-	inbox chan func(now time.Time)
+	inbox chan posted
 	done  chan struct{}
+	delay loopDelay
 
 	state *state.State
 	// view is the state at the last tick or publication.
@@ -155,7 +156,7 @@
 // deadlock on a full inbox.
 func (c *control) post(f func(now time.Time)) bool {
 	select {
-	case c.inbox <- f:
+	case c.inbox <- posted{run: f, at: c.clock()}:
 		return true
 	case <-c.done:
 		return false
@@ -188,8 +189,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case f := <-c.inbox:
-			f(c.clock())
+		case p := <-c.inbox:
+			c.runPosted(p)
 			c.drainInbox()
 		case <-ticker.C:
 			c.tick(c.clock())
@@ -206,8 +207,8 @@
 func (c *control) drainInbox() {
 	for range len(c.inbox) {
 		select {
-		case f := <-c.inbox:
-			f(c.clock())
+		case p := <-c.inbox:
+			c.runPosted(p)
 		default:
 			return
 		}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -137,7 +137,7 @@
 	now := d.clock()
 	c := &control{
 		self: d.self, inc: d.inc, log: d.log, clock: d.clock, dataCentre: d.dataCentre,
-		inbox: make(chan func(now time.Time), inboxSize), done: make(chan struct{}),
+		inbox: make(chan posted, inboxSize), done: make(chan struct{}),
 		state:          state.New(),
 		witness:        witness.New(now, witness.Config{Self: d.self, Incarnation: d.inc, Rand: seed, Follower: d.settings.Platform().Enabled()}),
 		proposals:      newProposals(),
--- a/io/daemon/disk_test.go
+++ b/io/daemon/disk_test.go
@@ -17,7 +17,7 @@
 	ctx, halt := context.WithCancel(context.Background())
 	defer halt()
 	d := &Daemon{log: logr.Discard(), ctx: ctx, halt: halt}
-	d.ctl = &control{inbox: make(chan func(time.Time), 4), done: make(chan struct{})}
+	d.ctl = &control{clock: time.Now, inbox: make(chan posted, 4), done: make(chan struct{})}
 	d.synced(0, syscall.ENOSPC)
 	assert.NilError(t, ctx.Err(), "the daemon has stopped")
 	assert.Assert(t, d.diskFailed.Load())
--- a/io/daemon/meter.go
+++ b/io/daemon/meter.go
@@ -69,6 +69,7 @@
 	} {
 		s.Gauge(name).Update(v)
 	}
+	c.updateDelayGauges(s, now)
 	if d.platform != nil {
 		d.platform.updateGatewayGauges(s, now)
 	}
--- a/io/daemon/tick.go
+++ b/io/daemon/tick.go
@@ -21,6 +21,7 @@
 // tick feeds the time to every part of the control state and runs the periodic
 // tasks.
 func (c *control) tick(now time.Time) {
+	defer c.observeTick(now)
 	c.stepVoter(now, consensus.Tick())
 	c.stepWitness(now, witness.Tick{})
 	c.stepMembers(now, membership.Tick{})
--- a/io/protocol/scrape/scrape.go
+++ b/io/protocol/scrape/scrape.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	prom "github.com/prometheus/client_golang/prometheus"
 	tally "github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -23,7 +24,8 @@
 
 // New returns metrics whose names start with "papayaspoke_".
 func New(tags map[string]string) *Metrics {
-	r := prometheus.NewReporter(prometheus.Options{OnRegisterError: func(error) {}})
+	own := prom.NewRegistry()
+	r := prometheus.NewReporter(prometheus.Options{Registerer: own, Gatherer: ordered(own), OnRegisterError: func(error) {}})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "papayaspoke",
 		Tags:           tags,
