Failing tests: a daemon handles requests by an old routing document

- a follower's link is filled by copies of the same large documents, and a lost exchange costs a whole poll interval;

--- a/core/coordination/witness/cluster_test.go
+++ b/core/coordination/witness/cluster_test.go
@@ -47,6 +47,8 @@
 	to   ident.Daemon
 	req  witness.Request
 	resp *witness.Response
+	// due is when run delivers it.
+	due time.Time
 }
 
 // cluster runs daemons over a simulated network.
@@ -65,6 +67,8 @@
 	answering packet
 	// drop reports whether a packet is lost; nil loses none.
 	drop func(packet) bool
+	// delay returns how long a packet is in transit; nil makes it 0.
+	delay func(now time.Time, p packet) time.Duration
 	// follows reports whether a daemon is a follower; nil makes none a
 	// follower.
 	follows func(ident.Daemon) bool
@@ -127,7 +131,7 @@
 	switch eff := eff.(type) {
 	case witness.Send:
 		c.sent++
-		c.packets = append(c.packets, packet{from: n, to: eff.To, req: eff.Request})
+		c.post(packet{from: n, to: eff.To, req: eff.Request})
 	case witness.Reply:
 		resp := eff.Response
 		if eff.WithSnapshot {
@@ -135,7 +139,7 @@
 		}
 		p := c.answering
 		p.resp = &resp
-		c.packets = append(c.packets, p)
+		c.post(p)
 	case witness.Apply:
 		for _, e := range eff.Entries {
 			if e.Index != n.applied+1 {
@@ -163,6 +167,15 @@
 	}
 }
 
+// post adds a packet to the network.
+func (c *cluster) post(p packet) {
+	p.due = c.now
+	if c.delay != nil {
+		p.due = c.now.Add(c.delay(c.now, p))
+	}
+	c.packets = append(c.packets, p)
+}
+
 func (n *node) apply(e entry.Entry) {
 	n.applied = e.Index
 	if len(e.Data) == 0 {
@@ -253,7 +266,7 @@
 	}
 }
 
-// run advances the time by d and delivers packets without delay. No-op requests
+// run advances the time by d and delivers the packets that are due. No-op requests
 // are answered.
 func (c *cluster) run(d time.Duration) {
 	for end := c.now.Add(d); c.now.Before(end); c.now = c.now.Add(10 * time.Millisecond) {
@@ -265,6 +278,10 @@
 			packets := c.packets
 			c.packets = nil
 			for _, p := range packets {
+				if p.due.After(c.now) {
+					c.packets = append(c.packets, p)
+					continue
+				}
 				c.transmit(p)
 			}
 		}
--- a/core/coordination/witness/follow_test.go
+++ b/core/coordination/witness/follow_test.go
@@ -55,6 +55,79 @@
 	}
 }
 
+// TestFollowersKeepUpBesideFaults guards against documents that are not in force at
+// one daemon for seconds after they were acknowledged, since a poll or a fetch of it
+// was lost or slow. Documents come in pairs and chains.
+func TestFollowersKeepUpBesideFaults(t *testing.T) {
+	const daemons, disks, within = 94, 6, 2500 * time.Millisecond
+	core := func(d ident.Daemon) int { return slices.Index(daemonNames(disks), d) }
+	random := rand.New(rand.NewPCG(3, 4))
+	dark := func(p packet) bool { return core(p.to) >= 4 || core(p.from.name) >= 4 }
+	fetch := func(p packet) bool { return core(p.from.name) < 0 && p.req.WantEntries }
+	late := func(d time.Duration, match func(packet) bool) func(time.Time, packet) time.Duration {
+		return func(_ time.Time, p packet) time.Duration {
+			if p.resp != nil && match(p) {
+				return d
+			}
+			return 0
+		}
+	}
+	// With documents of 250 KB, an entry takes 200 ms over a link of 10 Mbit/s.
+	freeAt := make(map[*node]time.Time)
+	slowLink := func(now time.Time, p packet) time.Duration {
+		if p.resp == nil || !fetch(p) {
+			return 0
+		}
+		begin := now
+		if freeAt[p.from].After(now) {
+			begin = freeAt[p.from]
+		}
+		freeAt[p.from] = begin.Add(time.Duration(len(p.resp.Entries)) * 200 * time.Millisecond)
+		return freeAt[p.from].Sub(now)
+	}
+	cases := map[string]struct {
+		drop  func(packet) bool
+		delay func(time.Time, packet) time.Duration
+	}{
+		"nothing wrong":                          {},
+		"a fifth of the messages lost, two dark": {drop: func(p packet) bool { return dark(p) || random.IntN(5) == 0 }},
+		"three witnesses late":                   {delay: late(900*time.Millisecond, func(p packet) bool { return core(p.to) < 3 })},
+		"three name what they never hand out":    {drop: func(p packet) bool { return fetch(p) && core(p.to) < 3 }},
+		"entries take long":                      {delay: late(500*time.Millisecond, fetch)},
+		"two dark, one late":                     {drop: dark, delay: late(900*time.Millisecond, func(p packet) bool { return core(p.to) == 1 })},
+		"large documents, slow links":            {delay: slowLink},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newClusterOf(t, daemons, func(d ident.Daemon) bool { return core(d) < 0 })
+			witnesses := c.names[:disks]
+			c.commit(witnesses, c.names[0])
+			c.step(c.nodes[c.names[0]], witness.Leading{On: true})
+			c.run(600 * time.Millisecond)
+			for _, d := range witnesses {
+				c.answerRead(d)
+			}
+			c.run(3 * time.Second)
+			c.drop, c.delay = tc.drop, tc.delay
+			committedAt := make(map[uint64]time.Time)
+			for i := range 20 {
+				for range 2 + 4*(i%2) {
+					c.commit(nil, witnesses[:4]...)
+					committedAt[c.lastIndex()] = c.now
+					c.run(20 * time.Millisecond)
+				}
+				c.run(time.Second)
+				for _, d := range c.names[disks:] {
+					next := c.nodes[d].applied + 1
+					if at, ok := committedAt[next]; ok {
+						assert.Assert(t, c.now.Sub(at) < within, "%s lacks entry %d, committed %s ago", d, next, c.now.Sub(at))
+					}
+				}
+			}
+		})
+	}
+}
+
 // daemonNames returns the names of the first n daemons of a cluster.
 func daemonNames(n int) []ident.Daemon {
 	var out []ident.Daemon
