A daemon that is behind asks the next witness by itself, and no earlier than needed

Callers saw a 404, or a route's older service, at one daemon of many for seconds after a document was acknowledged. A daemon without a disk learned that it lacks entries from a poll, and asked for them only when a response said so: after a lost fetch it waited for the next poll, 400 ms later, that found a witness which answers; and while a large document was under way it had the same bytes sent again every 400 ms, which took the link from the first copy.

Now what is missing is remembered (catchUp). The daemon asks the next witness after the time that the missing bytes may take, which responses state (Missing), or 20 ms after a call has failed, and polls all witnesses until it has caught up. Calls that fail are logged at level 1; they were dropped without a word.

TestFollowersKeepUpBesideFaults, 94 daemons: an entry was missing after 3.2 s in two of seven cases, bound 2.5 s; all hold now.

--- a/core/coordination/witness/cluster_test.go
+++ b/core/coordination/witness/cluster_test.go
@@ -178,7 +178,7 @@
 
 func (n *node) apply(e entry.Entry) {
 	n.applied = e.Index
-	if len(e.Data) == 0 {
+	if len(e.Data) == 0 || e.Data[0] == 0 {
 		return
 	}
 	var set []ident.Daemon
@@ -218,6 +218,15 @@
 	}
 }
 
+// commitBytes appends an entry of that size, which changes no witness, and delivers it
+// to the daemons in at.
+func (c *cluster) commitBytes(size int, at ...ident.Daemon) {
+	c.log = append(c.log, entry.Entry{Index: uint64(len(c.log) + 1), Term: 1, Kind: entry.Command, Data: make([]byte, size)})
+	for _, d := range at {
+		c.catchUp(d)
+	}
+}
+
 // catchUp delivers all committed entries to the daemon.
 func (c *cluster) catchUp(d ident.Daemon) {
 	n := c.nodes[d]
--- a/core/coordination/witness/doc.go
+++ b/core/coordination/witness/doc.go
@@ -20,10 +20,12 @@
 // entries may come from any daemon. The leader offers new entries to the
 // witnesses at once. Each daemon polls a majority every 400 ms, and the others
 // as well if some are slow. A daemon that learns that another one has more
-// entries fetches them, from one daemon at a time. Entries older than a bounded
-// tail of the log are fetched as a snapshot. Visibility follows from the
-// responses alone, so any daemon can establish it; the leader usually does so
-// first, because its offers are answered first.
+// entries fetches them, and asks the next one if nothing arrives in the time that
+// they may take: too early, and copies of the same entries fill a slow link; with
+// the next poll only, and a single lost exchange costs a poll interval. Entries
+// older than a bounded tail of the log are fetched as a snapshot. Visibility
+// follows from the responses alone, so any daemon can establish it; the leader
+// usually does so first, because its offers are answered first.
 //
 // # Restarted witnesses
 //
--- a/core/coordination/witness/follow_test.go
+++ b/core/coordination/witness/follow_test.go
@@ -59,7 +59,11 @@
 // one daemon for seconds after they were acknowledged, since a poll or a fetch of it
 // was lost or slow. Documents come in pairs and chains.
 func TestFollowersKeepUpBesideFaults(t *testing.T) {
-	const daemons, disks, within = 94, 6, 2500 * time.Millisecond
+	const (
+		daemons, disks, within = 94, 6, 2500 * time.Millisecond
+		// Bytes, and bytes per second.
+		largeDocument, linkRate = 700_000, 10_000_000 / 8
+	)
 	core := func(d ident.Daemon) int { return slices.Index(daemonNames(disks), d) }
 	random := rand.New(rand.NewPCG(3, 4))
 	dark := func(p packet) bool { return core(p.to) >= 4 || core(p.from.name) >= 4 }
@@ -72,22 +76,31 @@
 			return 0
 		}
 	}
-	// With documents of 250 KB, an entry takes 200 ms over a link of 10 Mbit/s.
+	// The link of each daemon carries 10 Mbit/s. A snapshot holds one document.
 	freeAt := make(map[*node]time.Time)
 	slowLink := func(now time.Time, p packet) time.Duration {
 		if p.resp == nil || !fetch(p) {
 			return 0
 		}
+		size := 0
+		for _, e := range p.resp.Entries {
+			size += len(e.Data)
+		}
+		if p.resp.Snapshot.Index > 0 {
+			size = largeDocument
+		}
 		begin := now
 		if freeAt[p.from].After(now) {
 			begin = freeAt[p.from]
 		}
-		freeAt[p.from] = begin.Add(time.Duration(len(p.resp.Entries)) * 200 * time.Millisecond)
+		freeAt[p.from] = begin.Add(time.Duration(size) * time.Second / linkRate)
 		return freeAt[p.from].Sub(now)
 	}
 	cases := map[string]struct {
 		drop  func(packet) bool
 		delay func(time.Time, packet) time.Duration
+		// size is that of a document in bytes.
+		size int
 	}{
 		"nothing wrong":                          {},
 		"a fifth of the messages lost, two dark": {drop: func(p packet) bool { return dark(p) || random.IntN(5) == 0 }},
@@ -95,7 +108,7 @@
 		"three name what they never hand out":    {drop: func(p packet) bool { return fetch(p) && core(p.to) < 3 }},
 		"entries take long":                      {delay: late(500*time.Millisecond, fetch)},
 		"two dark, one late":                     {drop: dark, delay: late(900*time.Millisecond, func(p packet) bool { return core(p.to) == 1 })},
-		"large documents, slow links":            {delay: slowLink},
+		"large documents, slow links":            {delay: slowLink, size: largeDocument},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -112,7 +125,7 @@
 			committedAt := make(map[uint64]time.Time)
 			for i := range 20 {
 				for range 2 + 4*(i%2) {
-					c.commit(nil, witnesses[:4]...)
+					c.commitBytes(tc.size, witnesses[:4]...)
 					committedAt[c.lastIndex()] = c.now
 					c.run(20 * time.Millisecond)
 				}
--- a/core/coordination/witness/message.go
+++ b/core/coordination/witness/message.go
@@ -49,6 +49,9 @@
 	Digest uint64
 	// Vector is nil only if the request had the same digest.
 	Vector Vector
+	// Missing is the size in bytes of what From has applied after the request's
+	// Applied, 0 if nothing, or if the request wants it.
+	Missing uint64
 	// Entries follow the request's Applied without gaps.
 	Entries []entry.Entry
 	// Snapshot has index zero if there is none.
@@ -79,6 +82,12 @@
 // ResponseReceived delivers the response to a request that this process run sent.
 type ResponseReceived struct{ Response Response }
 
+// SendFailed reports that a [Send] got no response.
+type SendFailed struct {
+	To          ident.Daemon
+	WantEntries bool
+}
+
 // Committed delivers entries that the voters have committed.
 type Committed struct{ Entries []entry.Entry }
 
@@ -108,6 +117,7 @@
 func (Tick) event()              {}
 func (RequestReceived) event()   {}
 func (ResponseReceived) event()  {}
+func (SendFailed) event()        {}
 func (Committed) event()         {}
 func (CommittedSnapshot) event() {}
 func (Applied) event()           {}
--- a/core/coordination/witness/round.go
+++ b/core/coordination/witness/round.go
@@ -104,7 +104,7 @@
 
 // selectWitnesses returns the witnesses to poll: a bare majority in rotation,
 // those that responded last time first, or all of them if more responses are
-// needed.
+// needed or this daemon knows that it lacks entries.
 func (w *Witness) selectWitnesses() []ident.Daemon {
 	members := w.witnesses.members(w.visible)
 	others := without(members, w.self)
@@ -112,7 +112,7 @@
 		return nil
 	}
 	w.rotation++
-	if w.pollsAsFollower() {
+	if w.pollsAsFollower() && w.catchUp.since.IsZero() {
 		return w.rotate(others, followerPollSize)[:min(followerPollSize, len(others))]
 	}
 	if !w.active || len(w.witnesses.requiredSets(w.visible)) > 1 || w.lastRound%fullPollEvery == 0 {
@@ -170,20 +170,21 @@
 	}
 	w.recordAck(resp)
 	w.lastResponseAt = now
-	w.lag.name(now, resp.From, resp.Applied, w.applied)
+	w.noteNamed(now, resp.From, resp.Applied)
+	if resp.Missing > 0 {
+		w.catchUp.size = resp.Missing
+	}
 	w.raiseVisible(resp.Visible)
 	for _, r := range w.rounds {
 		if r.number == resp.Round {
 			r.add(resp)
 		}
 	}
-	if len(resp.Entries) > 0 || resp.Snapshot.Index > 0 {
-		w.fetchUntil = time.Time{}
-	}
+	delivered := w.delivered
 	w.install(resp.Snapshot)
 	w.deliver(resp.Entries)
-	if resp.Applied > w.delivered {
-		w.fetch(now, resp.From)
+	if w.delivered > delivered {
+		w.catchUp.nextAt = now
 	}
 }
 
--- a/core/coordination/witness/tail.go
+++ b/core/coordination/witness/tail.go
@@ -58,5 +58,19 @@
 	return es[:len(es):len(es)], true
 }
 
+// sizeAfter returns the size of the entries that follow index. If they are no longer
+// all in the tail, it is the most that a tail holds, for the snapshot that replaces
+// them.
+func (t *tail) sizeAfter(index uint64) uint64 {
+	if len(t.entries) == 0 || t.entries[0].Index > index+1 {
+		return tailBytes
+	}
+	size := 0
+	for _, e := range t.entries[min(len(t.entries), int(index+1-t.entries[0].Index)):] {
+		size += entrySize(e)
+	}
+	return uint64(size)
+}
+
 // entrySize returns the approximate memory used by an entry.
 func entrySize(e entry.Entry) int { return len(e.Data) + 48 }
--- a/core/coordination/witness/witness.go
+++ b/core/coordination/witness/witness.go
@@ -17,7 +17,6 @@
 	pollInterval     = 400 * time.Millisecond
 	recoveryInterval = 200 * time.Millisecond
 	widenAfter       = 150 * time.Millisecond
-	fetchTimeout     = 300 * time.Millisecond
 	offerTimeout     = 300 * time.Millisecond
 	readInterval     = 500 * time.Millisecond
 	noopInterval     = time.Second
@@ -32,7 +31,7 @@
 	follower bool
 	// lastResponseAt is when the last response arrived.
 	lastResponseAt time.Time
-	lag            lag
+	catchUp        catchUp
 	// incarnation is the incarnation of this run. It increases only before the
 	// run becomes active.
 	incarnation ident.Incarnation
@@ -81,9 +80,8 @@
 	leading bool
 	// freshUntil never decreases unless this run is superseded.
 	freshUntil time.Time
-	// pollAt, readAt and noopAt are when the next poll, read and no-op are due;
-	// fetchUntil is when the current fetch times out.
-	pollAt, readAt, noopAt, fetchUntil time.Time
+	// pollAt, readAt and noopAt are when the next poll, read and no-op are due.
+	pollAt, readAt, noopAt time.Time
 
 	// pendingRequests wait until the state machine has applied everything
 	// delivered.
@@ -106,6 +104,8 @@
 	digest uint64
 	// missed is true if a later poll was not answered.
 	missed bool
+	// askedAt is when the daemon was last asked for entries.
+	askedAt time.Time
 	// offerDeadline is when the current offer times out.
 	offerDeadline time.Time
 	// offered is the last index offered to the daemon.
@@ -167,7 +167,7 @@
 	case Applied:
 		w.applied = max(w.applied, ev.Index)
 		w.delivered = max(w.delivered, w.applied)
-		w.lag.caughtUp(w.applied)
+		w.catchUp.noteApplied(w.applied)
 		w.witnesses = ev.Witnesses
 	case LinearizableRead:
 		// The first read suffices; a later one would only raise the floor.
@@ -176,10 +176,13 @@
 		}
 	case Leading:
 		w.leading = ev.On
+	case SendFailed:
+		w.onSendFailed(now, ev)
 	case Peers:
 		w.peers = without(sorted(ev.Daemons), w.self)
 	}
 	w.evaluate(now)
+	w.fetchMissing(now)
 	return w.effects
 }
 
@@ -243,11 +246,8 @@
 	if a := w.acks[req.From]; a != nil {
 		a.missed = false
 	}
-	w.lag.name(now, req.From, req.Applied, w.applied)
+	w.noteNamed(now, req.From, req.Applied)
 	w.deliver(req.Entries)
-	if req.Applied > w.delivered {
-		w.fetch(now, req.From)
-	}
 }
 
 // replySuperseded responds to a request that arrived after this run was
@@ -288,19 +288,6 @@
 	w.emit(Visible{Index: index})
 }
 
-// fetch requests the missing entries from d unless another fetch is in
-// progress.
-func (w *Witness) fetch(now time.Time, d ident.Daemon) {
-	if now.Before(w.fetchUntil) {
-		return
-	}
-	w.fetchUntil = now.Add(fetchTimeout)
-	w.lag.asked, w.lag.askedAt = d, now
-	req := w.newRequest(0, d)
-	req.WantEntries = true
-	w.emit(Send{To: d, Request: req})
-}
-
 // newRequest returns a request to d without entries.
 func (w *Witness) newRequest(round uint64, d ident.Daemon) Request {
 	req := Request{
@@ -358,6 +345,9 @@
 		resp.Vector = w.incarnations.copyForMessage()
 	}
 	reply := Reply{Token: r.Token}
+	if r.Request.Applied < w.applied && !r.Request.WantEntries {
+		resp.Missing = w.tail.sizeAfter(r.Request.Applied)
+	}
 	if r.Request.WantEntries && r.Request.Applied < w.applied {
 		es, ok := w.tail.after(r.Request.Applied)
 		resp.Entries = es
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -92,7 +92,7 @@
 	d.forwarder = caller.NewForwarder(conns, d.self, s.Token())
 	d.peers = &peers{
 		ctx: ctx, client: peer.NewClient(conns.HTTP(), s.Token()), address: d.peerAddress,
-		queues: make(map[ident.Daemon]chan consensus.Message),
+		queues: make(map[ident.Daemon]chan consensus.Message), log: log,
 	}
 	if s.Platform().Enabled() {
 		d.platform = newPlatform(d, dialect)
--- a/io/daemon/peers.go
+++ b/io/daemon/peers.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"github.com/go-logr/logr"
 	"papayaspoke/core/coordination/consensus"
 	"papayaspoke/core/coordination/dispatch/budget"
 	"papayaspoke/core/coordination/founding"
@@ -40,6 +41,7 @@
 	address func(name ident.Daemon) (string, bool)
 	post    func(f func(now time.Time)) bool
 	ctl     *control
+	log     logr.Logger
 	// queues holds the messages for each voter; it belongs to the control
 	// goroutine.
 	queues map[ident.Daemon]chan consensus.Message
@@ -124,9 +126,12 @@
 		ctx, cancel := context.WithTimeout(p.ctx, timeout)
 		defer cancel()
 		resp, err := p.client.Witness(ctx, addr, r)
-		if err == nil {
-			p.post(func(now time.Time) { p.ctl.stepWitness(now, witness.ResponseReceived{Response: resp}) })
+		if err != nil {
+			p.log.V(1).Info("witness did not answer", "witness", to, "entries", r.WantEntries, "error", err.Error())
+			p.post(func(now time.Time) { p.ctl.stepWitness(now, witness.SendFailed{To: to, WantEntries: r.WantEntries}) })
+			return
 		}
+		p.post(func(now time.Time) { p.ctl.stepWitness(now, witness.ResponseReceived{Response: resp}) })
 	}()
 }
 
--- a/io/protocol/peer/witness.go
+++ b/io/protocol/peer/witness.go
@@ -60,6 +60,7 @@
 		Visible:     r.Visible,
 		Digest:      r.Digest,
 		Vector:      encodeVector(r.Vector),
+		Missing:     r.Missing,
 		Entries:     encodeWitnessEntries(r.Entries),
 	}
 	if s := r.Snapshot; s.Index > 0 {
@@ -88,6 +89,7 @@
 		Visible:     m.GetVisible(),
 		Digest:      m.GetDigest(),
 		Vector:      decodeVector(m.GetVector()),
+		Missing:     m.GetMissing(),
 		Entries:     entries,
 		Snapshot:    witness.Snapshot{Index: s.GetIndex(), Term: s.GetTerm(), Data: s.GetData()},
 	}, nil
--- a/io/protocol/peer/witness_test.go
+++ b/io/protocol/peer/witness_test.go
@@ -37,7 +37,7 @@
 	assert.DeepEqual(t, gotReq, req)
 
 	resp := witness.Response{
-		From: "a", Incarnation: 7, Round: 3, Active: true, Applied: 4, Floor: 2, Visible: 5, Digest: 6,
+		From: "a", Incarnation: 7, Round: 3, Active: true, Applied: 4, Floor: 2, Visible: 5, Digest: 6, Missing: 8,
 		Vector: vector, Entries: entries, Snapshot: witness.Snapshot{Index: 3, Term: 1, Data: []byte("z")},
 	}
 	respMessage := &peerpb.WitnessResponse{}
