A daemon that knows no witness asks all members in turn

It asked the same three members in each round, since the rotation moved only once it knew the witnesses. If these three knew nothing or were down, it got no document, and answered 503, until another daemon happened to ask it. TestUninformedDaemonAsksEverybody failed before.

--- a/core/coordination/witness/follow_test.go
+++ b/core/coordination/witness/follow_test.go
@@ -141,6 +141,27 @@
 	}
 }
 
+// TestUninformedDaemonAsksEverybody guards against a daemon that knows no witness yet
+// and asks the same few members again and again, none of which answers.
+func TestUninformedDaemonAsksEverybody(t *testing.T) {
+	follows := func(d ident.Daemon) bool { return d > "d02" }
+	c := newClusterOf(t, 11, follows)
+	c.commit(c.names[:3], c.names[0])
+	c.step(c.nodes["d00"], witness.Leading{On: true})
+	c.run(600 * time.Millisecond)
+	for _, d := range c.names[:3] {
+		c.answerRead(d)
+	}
+	c.run(time.Second)
+	// The members that are no witnesses don't answer it.
+	c.drop = func(p packet) bool { return p.from.name == "d10" && follows(p.to) }
+	for range 20 {
+		c.start("d10")
+		c.run(2 * time.Second)
+		assert.Equal(t, c.nodes["d10"].applied, c.lastIndex())
+	}
+}
+
 // daemonNames returns the names of the first n daemons of a cluster.
 func daemonNames(n int) []ident.Daemon {
 	var out []ident.Daemon
--- a/core/coordination/witness/round.go
+++ b/core/coordination/witness/round.go
@@ -71,6 +71,7 @@
 		interval = recoveryInterval
 	}
 	w.pollAt = now.Add(interval)
+	w.rotation++
 	w.lastRound++
 	r := &round{number: w.lastRound, sentAt: now, widenAt: now.Add(widenAfter)}
 	w.rounds = append(w.rounds, r)
@@ -111,7 +112,6 @@
 	if len(others) == 0 {
 		return nil
 	}
-	w.rotation++
 	if w.pollsAsFollower() && w.catchUp.since.IsZero() {
 		return w.rotate(others, followerPollSize)[:min(followerPollSize, len(others))]
 	}
