The replicated log goes before all other work of the control loop

Callers saw documents that were not in force for seconds at a daemon that was busy: the loop took what was posted in its order, so a document, a poll of a witness or the renewal of the placer's lease waited behind every report, announcement and exchange of members. A report whose sender had given up after 300 ms was still worked off, which keeps a loop that is once behind behind.

The log and what rests on it have an inbox of their own, which goes first. A call whose context has ended is not run. The loop publishes and looks at its ticker every 10 ms.

--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -24,8 +24,12 @@
 	// tickInterval is the interval of the control loop's ticks, which drive all
 	// timeouts of the coordination packages.
 	tickInterval = 25 * time.Millisecond
-	// inboxSize is how many posted functions may wait for the control loop.
+	// inboxSize is how many posted functions may wait for the control loop, in each
+	// of its two inboxes.
 	inboxSize = 4096
+	// drainTime is how long the loop runs posted functions before it looks at the
+	// ticker and publishes.
+	drainTime = 10 * time.Millisecond
 )
 
 // control is the control loop. Only its own goroutine may access its fields,
@@ -37,10 +41,12 @@
 	log        logr.Logger
 	clock      func() time.Time
 
-	// inbox and done may be used by any goroutine.
-	inbox chan posted
-	done  chan struct{}
-	delay loopDelay
+	// logInbox holds what concerns the replicated log and the leases that rest on
+	// it. It goes before the inbox, so that no amount of other work makes this daemon
+	// act on an old state. Both, and done, may be used by any goroutine.
+	logInbox, inbox chan posted
+	done            chan struct{}
+	delay           loopDelay
 
 	state *state.State
 	// view is the state at the last tick or publication.
@@ -154,9 +160,14 @@
 // post queues f for the control loop. It returns false if the loop has ended.
 // It may be called by any goroutine but the loop's own, which would
 // deadlock on a full inbox.
-func (c *control) post(f func(now time.Time)) bool {
+func (c *control) post(f func(now time.Time)) bool { return c.postTo(c.inbox, f) }
+
+// postLog is post for what concerns the replicated log.
+func (c *control) postLog(f func(now time.Time)) bool { return c.postTo(c.logInbox, f) }
+
+func (c *control) postTo(inbox chan<- posted, f func(now time.Time)) bool {
 	select {
-	case c.inbox <- posted{run: f, at: c.clock()}:
+	case inbox <- posted{run: f, at: c.clock()}:
 		return true
 	case <-c.done:
 		return false
@@ -164,10 +175,25 @@
 }
 
 // call runs f on the control loop and waits until it has run, the context is
-// done or the loop has ended.
+// done or the loop has ended. If the context is done before its turn comes, f
+// is not run: nobody waits for it any more.
 func (c *control) call(ctx context.Context, f func(now time.Time)) error {
+	return c.callBy(ctx, c.post, f)
+}
+
+// callLog is call for what concerns the replicated log.
+func (c *control) callLog(ctx context.Context, f func(now time.Time)) error {
+	return c.callBy(ctx, c.postLog, f)
+}
+
+func (c *control) callBy(ctx context.Context, post func(f func(now time.Time)) bool, f func(now time.Time)) error {
 	ran := make(chan struct{})
-	if !c.post(func(now time.Time) { f(now); close(ran) }) {
+	if !post(func(now time.Time) {
+		if ctx.Err() == nil {
+			f(now)
+			close(ran)
+		}
+	}) {
 		return context.Canceled
 	}
 	select {
@@ -189,10 +215,15 @@
 		select {
 		case <-ctx.Done():
 			return
+		case p := <-c.logInbox:
+			c.runPosted(p)
+			c.drain()
 		case p := <-c.inbox:
+			c.drainLog()
 			c.runPosted(p)
-			c.drainInbox()
+			c.drain()
 		case <-ticker.C:
+			c.drainLog()
 			c.tick(c.clock())
 		}
 		if c.viewDirty {
@@ -202,10 +233,12 @@
 	}
 }
 
-// drainInbox runs the other functions in the inbox, so that one view is
+// drain runs the other posted functions for up to drainTime, so that one view is
 // published for all of them.
-func (c *control) drainInbox() {
-	for range len(c.inbox) {
+func (c *control) drain() {
+	end := c.clock().Add(drainTime)
+	for c.clock().Before(end) {
+		c.drainLog()
 		select {
 		case p := <-c.inbox:
 			c.runPosted(p)
@@ -214,3 +247,10 @@
 		}
 	}
 }
+
+// drainLog runs the functions in the log inbox.
+func (c *control) drainLog() {
+	for range len(c.logInbox) {
+		c.runPosted(<-c.logInbox)
+	}
+}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -98,7 +98,7 @@
 		d.platform = newPlatform(d, dialect)
 	}
 	d.ctl = d.newControl()
-	d.peers.ctl, d.peers.post = d.ctl, d.ctl.post
+	d.peers.ctl, d.peers.post, d.peers.postLog = d.ctl, d.ctl.post, d.ctl.postLog
 	d.proposer = &proposer{
 		local: d.proposeLocally, remote: d.peers.propose, leader: func() ident.Daemon { return d.view.Load().leader },
 		candidates: d.leaderCandidates, self: d.self,
@@ -137,7 +137,7 @@
 	now := d.clock()
 	c := &control{
 		self: d.self, inc: d.inc, log: d.log, clock: d.clock, dataCentre: d.dataCentre,
-		inbox: make(chan posted, inboxSize), done: make(chan struct{}),
+		logInbox: make(chan posted, inboxSize), inbox: make(chan posted, inboxSize), done: make(chan struct{}),
 		state:          state.New(),
 		witness:        witness.New(now, witness.Config{Self: d.self, Incarnation: d.inc, Rand: seed, Follower: d.settings.Platform().Enabled()}),
 		proposals:      newProposals(),
@@ -189,7 +189,7 @@
 	d.ctl.voter = &voter{node: node, persist: d.writer.Submit}
 	d.ctl.founding = newFoundingState(d.clock(), d.settings, node)
 	if st.Snapshot.Index > 0 {
-		d.ctl.post(func(now time.Time) {
+		d.ctl.postLog(func(now time.Time) {
 			s := witness.Snapshot{Index: st.Snapshot.Index, Term: st.Snapshot.Term, Data: st.Snapshot.Data}
 			d.ctl.stepWitness(now, witness.CommittedSnapshot{Snapshot: s})
 		})
@@ -239,7 +239,7 @@
 	if d.diskFailed.CompareAndSwap(true, false) {
 		d.log.Info("disk regained", "folder", d.settings.DataFolder())
 	}
-	d.ctl.post(func(now time.Time) { d.ctl.stepVoter(now, consensus.Synced(number)) })
+	d.ctl.postLog(func(now time.Time) { d.ctl.stepVoter(now, consensus.Synced(number)) })
 }
 
 func (d *Daemon) listen() error {
--- a/io/daemon/delay.go
+++ b/io/daemon/delay.go
@@ -61,7 +61,7 @@
 	}
 	c.delay.nextLogAt = now.Add(lateLogInterval)
 	c.log.Info("control loop late", "wait", c.delay.wait.Milliseconds(), "step", c.delay.step.Milliseconds(),
-		"tick", c.delay.tickGap.Milliseconds(), "queued", len(c.inbox))
+		"tick", c.delay.tickGap.Milliseconds(), "queued", len(c.inbox)+len(c.logInbox))
 }
 
 // logBehind logs that this daemon lacks entries that another one has named.
--- a/io/daemon/disk_test.go
+++ b/io/daemon/disk_test.go
@@ -17,12 +17,12 @@
 	ctx, halt := context.WithCancel(context.Background())
 	defer halt()
 	d := &Daemon{log: logr.Discard(), ctx: ctx, halt: halt}
-	d.ctl = &control{clock: time.Now, inbox: make(chan posted, 4), done: make(chan struct{})}
+	d.ctl = &control{clock: time.Now, logInbox: make(chan posted, 4), done: make(chan struct{})}
 	d.synced(0, syscall.ENOSPC)
 	assert.NilError(t, ctx.Err(), "the daemon has stopped")
 	assert.Assert(t, d.diskFailed.Load())
-	assert.Equal(t, len(d.ctl.inbox), 0)
+	assert.Equal(t, len(d.ctl.logInbox), 0)
 	d.synced(7, nil)
 	assert.Assert(t, !d.diskFailed.Load())
-	assert.Equal(t, len(d.ctl.inbox), 1)
+	assert.Equal(t, len(d.ctl.logInbox), 1)
 }
--- a/io/daemon/members.go
+++ b/io/daemon/members.go
@@ -218,7 +218,7 @@
 // handleWitness serves a witness exchange.
 func (d *Daemon) handleWitness(ctx context.Context, r witness.Request) (witness.Response, error) {
 	ch := make(chan witness.Response, 1)
-	d.ctl.post(func(now time.Time) {
+	d.ctl.postLog(func(now time.Time) {
 		d.ctl.lastToken++
 		d.ctl.witnessReplies[d.ctl.lastToken] = ch
 		d.ctl.stepWitness(now, witness.RequestReceived{Token: d.ctl.lastToken, Request: r})
--- a/io/daemon/peers.go
+++ b/io/daemon/peers.go
@@ -39,9 +39,10 @@
 	client *peer.Client
 	// address returns the peer address of a daemon.
 	address func(name ident.Daemon) (string, bool)
-	post    func(f func(now time.Time)) bool
-	ctl     *control
-	log     logr.Logger
+	// post and postLog post to the inboxes of the control loop.
+	post, postLog func(f func(now time.Time)) bool
+	ctl           *control
+	log           logr.Logger
 	// queues holds the messages for each voter; it belongs to the control
 	// goroutine.
 	queues map[ident.Daemon]chan consensus.Message
@@ -128,10 +129,10 @@
 		resp, err := p.client.Witness(ctx, addr, r)
 		if err != nil {
 			p.log.V(1).Info("witness did not answer", "witness", to, "entries", r.WantEntries, "error", err.Error())
-			p.post(func(now time.Time) { p.ctl.stepWitness(now, witness.SendFailed{To: to, WantEntries: r.WantEntries}) })
+			p.postLog(func(now time.Time) { p.ctl.stepWitness(now, witness.SendFailed{To: to, WantEntries: r.WantEntries}) })
 			return
 		}
-		p.post(func(now time.Time) { p.ctl.stepWitness(now, witness.ResponseReceived{Response: resp}) })
+		p.postLog(func(now time.Time) { p.ctl.stepWitness(now, witness.ResponseReceived{Response: resp}) })
 	}()
 }
 
@@ -222,7 +223,7 @@
 // proposeLocally proposes a command on this daemon's own control loop.
 func (d *Daemon) proposeLocally(ctx context.Context, cmd state.Command, data []byte) proposalResult {
 	replies := make(chan (<-chan proposalResult), 1)
-	if !d.ctl.post(func(now time.Time) { replies <- d.ctl.propose(now, cmd, data) }) {
+	if !d.ctl.postLog(func(now time.Time) { replies <- d.ctl.propose(now, cmd, data) }) {
 		return proposalResult{code: result.NoLeader}
 	}
 	select {
--- a/io/daemon/placer.go
+++ b/io/daemon/placer.go
@@ -244,7 +244,7 @@
 	var lease appoint.Lease
 	ctx, cancel := context.WithTimeout(p.d.ctx, orderTimeout)
 	defer cancel()
-	if err := p.d.ctl.call(ctx, func(time.Time) { lease = p.d.ctl.placementState.lease }); err == nil &&
+	if err := p.d.ctl.callLog(ctx, func(time.Time) { lease = p.d.ctl.placementState.lease }); err == nil &&
 		lease.Fence() == fence && lease.Holds(p.d.clock()) {
 		v = p.dialect.Order(ctx, p.replicas, t, o, p.d.self, fence)
 	}
--- a/io/daemon/read.go
+++ b/io/daemon/read.go
@@ -13,7 +13,7 @@
 // the index up to which the reader must apply the log.
 func (d *Daemon) handleReadIndex(ctx context.Context, from ident.Daemon) (uint64, bool) {
 	reply := make(chan consensus.ReadOutcome, 1)
-	d.ctl.post(func(now time.Time) {
+	d.ctl.postLog(func(now time.Time) {
 		if !d.ctl.leading() {
 			reply <- consensus.ReadOutcome{}
 			return
@@ -71,7 +71,7 @@
 		index, ok, err := d.peers.client.ReadIndex(callCtx, addr, d.self)
 		cancel()
 		if err == nil && ok {
-			d.ctl.post(func(time.Time) { d.ctl.leader = name })
+			d.ctl.postLog(func(time.Time) { d.ctl.leader = name })
 			return index, true
 		}
 		if ctx.Err() != nil {
@@ -90,6 +90,6 @@
 		ctx, cancel := context.WithTimeout(d.ctx, exchangeTimeout)
 		defer cancel()
 		_, err := d.catchUp(ctx)
-		d.ctl.post(func(time.Time) { f(err == nil) })
+		d.ctl.postLog(func(time.Time) { f(err == nil) })
 	}()
 }
--- a/io/daemon/tick.go
+++ b/io/daemon/tick.go
@@ -150,7 +150,7 @@
 		defer cancel()
 		a, err := d.proposer.propose(ctx, state.Batch{})
 		if err == nil && a.code == result.OK {
-			d.ctl.post(func(now time.Time) { d.ctl.stepWitness(now, witness.LinearizableRead{Index: a.index}) })
+			d.ctl.postLog(func(now time.Time) { d.ctl.stepWitness(now, witness.LinearizableRead{Index: a.index}) })
 		}
 	}()
 }
--- a/io/daemon/upstreams.go
+++ b/io/daemon/upstreams.go
@@ -158,7 +158,7 @@
 // handleConsensus feeds consensus messages to the voter. On a daemon without a
 // disk they are misdirected and dropped.
 func (d *Daemon) handleConsensus(ms []consensus.Message) {
-	d.ctl.post(func(now time.Time) {
+	d.ctl.postLog(func(now time.Time) {
 		for _, m := range ms {
 			d.ctl.stepVoter(now, consensus.Receive(m))
 		}
