A daemon that has just started serves no document that it knows to be old

Callers could get a 404, or an older service, from a daemon that had just started: it reads the log in batches, and put each document that it came across in force, though the witness that it reads from had named a higher index. It now waits until it has caught up, for 2 s at most; a request waits for the first document as before. Documents come into force with the view that holds them, no longer at the next tick.

--- a/io/daemon/placer.go
+++ b/io/daemon/placer.go
@@ -67,7 +67,7 @@
 	if c.platform == nil {
 		return
 	}
-	c.platform.updateTable(c.view)
+	c.updateTable(now)
 	c.updateNamedVersions(now)
 	if t := c.platform.gateway.Table(); t != c.placementState.table {
 		c.placementState.table = t
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -304,9 +304,26 @@
 	}
 }
 
-// updateTable puts a newly committed routing document in force.
-func (p *Platform) updateTable(v *state.View) {
-	r := v.Routing()
+// maxStartLag is how long a daemon that has just started puts no document in force
+// because it is behind the log.
+const maxStartLag = 2 * time.Second
+
+// updateTable puts a newly committed routing document in force. A daemon that has
+// just started and is behind the log waits, since it may be reading through old
+// documents.
+func (c *control) updateTable(now time.Time) {
+	if c.platform == nil {
+		return
+	}
+	l, behind := c.witness.Lag()
+	if behind && now.Sub(l.Since) < maxStartLag && c.platform.version.Load() == 0 {
+		return
+	}
+	c.platform.setDocument(c.view.Routing())
+}
+
+// setDocument puts a committed routing document in force.
+func (p *Platform) setDocument(r state.Routing) {
 	if r.Version == p.version.Load() {
 		return
 	}
--- a/io/daemon/tick.go
+++ b/io/daemon/tick.go
@@ -111,6 +111,7 @@
 // functions that waited for it.
 func (d *Daemon) publish(c *control) {
 	c.view = c.state.View()
+	c.updateTable(c.clock())
 	v := &view{
 		state: c.view, freshUntil: c.witness.FreshUntil(), visible: c.witness.Visible(), leader: c.leader,
 		writeGuards: c.holder.WriteGuards(), draining: c.draining,
