A request is denied only by a document that is known to be recent

Callers got 404 for routes that had been added and acknowledged seconds before, from one daemon of 94. A daemon on a platform serves whether it is fresh or not, so that a cut does not stop it; but that holds for what it knows. What its document lacks it denied with the same certainty, however long it had heard from nobody.

The daemon now keeps a time before which nothing became visible that it has not applied: the majority-th newest of the times at which the last confirming poll of each witness was sent (Witness.ConfirmedAt), at no further cost, as its polls go round. A request that no route matches is denied if that is less than 1.5 s ago. Otherwise the daemon reads the log through the leader, once for all requests that wait, and looks again; if the read fails the request gets P204 as not run, to be sent elsewhere at once. For 0.5 s after a failed read others are refused without one.

TestFollowersAreConfirmed: with two of six witnesses dark all 88 followers stay confirmed, with three none. The random runs of TestFreshDaemonsLackNothing check the confirmation too.

Requests of the own interface need a fresh daemon before anything is looked up; nothing changes there.

--- a/core/coordination/witness/cluster_test.go
+++ b/core/coordination/witness/cluster_test.go
@@ -125,6 +125,7 @@
 		c.t.Fatalf("%s: applied index fell from %d to %d", n.name, before, n.w.Applied())
 	}
 	c.checkFreshness(n)
+	c.checkConfirmation(n)
 }
 
 func (c *cluster) applyEffect(n *node, eff witness.Effect) {
@@ -203,6 +204,18 @@
 	}
 }
 
+// checkConfirmation fails if n lacks an entry that was visible before its
+// confirmation.
+func (c *cluster) checkConfirmation(n *node) {
+	c.t.Helper()
+	at := n.w.ConfirmedAt(c.now)
+	for _, v := range c.visible {
+		if v.at.Before(at) && n.applied < v.index {
+			c.t.Fatalf("%s is confirmed at %s with applied index %d, but %d was visible at %s", n.name, at, n.applied, v.index, v.at)
+		}
+	}
+}
+
 // commit appends an entry, which changes the witness set if one is given, and
 // delivers it to the daemons in at.
 func (c *cluster) commit(set []ident.Daemon, at ...ident.Daemon) {
--- a/core/coordination/witness/follow_test.go
+++ b/core/coordination/witness/follow_test.go
@@ -141,6 +141,43 @@
 	}
 }
 
+// TestFollowersAreConfirmed guards against followers that take their state for recent
+// while they hear from nobody, and against ones that never do beside allowed losses.
+func TestFollowersAreConfirmed(t *testing.T) {
+	const daemons, disks = 94, 6
+	core := func(d ident.Daemon) int { return slices.Index(daemonNames(disks), d) }
+	cases := map[string]struct {
+		drop      func(packet) bool
+		confirmed bool
+	}{
+		"nothing wrong":   {func(packet) bool { return false }, true},
+		"two dark":        {func(p packet) bool { return core(p.to) >= 4 || core(p.from.name) >= 4 }, true},
+		"a minority left": {func(p packet) bool { return core(p.to) >= 3 || core(p.from.name) >= 3 }, false},
+		"nobody left":     {func(packet) bool { return true }, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newClusterOf(t, daemons, func(d ident.Daemon) bool { return core(d) < 0 })
+			witnesses := c.names[:disks]
+			c.commit(witnesses, c.names[0])
+			c.step(c.nodes[c.names[0]], witness.Leading{On: true})
+			c.run(600 * time.Millisecond)
+			for _, d := range witnesses {
+				c.answerRead(d)
+			}
+			c.run(3 * time.Second)
+			c.drop = tc.drop
+			for range 20 {
+				c.run(200 * time.Millisecond)
+			}
+			for _, d := range c.names[disks:] {
+				age := c.now.Sub(c.nodes[d].w.ConfirmedAt(c.now))
+				assert.Equal(t, age < witness.FreshFor, tc.confirmed, "%s was confirmed %s ago", d, age)
+			}
+		})
+	}
+}
+
 // TestUninformedDaemonAsksEverybody guards against a daemon that knows no witness yet
 // and asks the same few members again and again, none of which answers.
 func TestUninformedDaemonAsksEverybody(t *testing.T) {
--- a/core/coordination/witness/round.go
+++ b/core/coordination/witness/round.go
@@ -176,8 +176,12 @@
 	}
 	w.raiseVisible(resp.Visible)
 	for _, r := range w.rounds {
-		if r.number == resp.Round {
-			r.add(resp)
+		if r.number != resp.Round {
+			continue
+		}
+		r.add(resp)
+		if resp.Active {
+			w.acks[resp.From].confirmation.answered(r.sentAt, resp.Applied, w.applied)
 		}
 	}
 	delivered := w.delivered
--- a/core/coordination/witness/witness.go
+++ b/core/coordination/witness/witness.go
@@ -105,7 +105,8 @@
 	// missed is true if a later poll was not answered.
 	missed bool
 	// askedAt is when the daemon was last asked for entries.
-	askedAt time.Time
+	askedAt      time.Time
+	confirmation confirmation
 	// offerDeadline is when the current offer times out.
 	offerDeadline time.Time
 	// offered is the last index offered to the daemon.
--- a/io/daemon/placer.go
+++ b/io/daemon/placer.go
@@ -68,6 +68,9 @@
 		return
 	}
 	c.updateTable(now)
+	if at := c.witness.ConfirmedAt(now); !at.IsZero() {
+		c.platform.confirmedAt.Store(&at)
+	}
 	c.updateNamedVersions(now)
 	if t := c.platform.gateway.Table(); t != c.placementState.table {
 		c.placementState.table = t
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -59,8 +59,12 @@
 	replicas *client.Client
 	// version is the version of the routing document in force.
 	version atomic.Uint64
-	servers []*server.Server
-	stopped atomic.Bool
+	// confirmedAt is a time at which this daemon lacked nothing of the log that was
+	// visible; nil if none is known.
+	confirmedAt atomic.Pointer[time.Time]
+	reader      routesReader
+	servers     []*server.Server
+	stopped     atomic.Bool
 }
 
 // Platform returns the part that serves a platform's routes, or nil if the
@@ -82,7 +86,8 @@
 			err := dialect.Probe(ctx, conns, p.targetOf(r))
 			return errors.Is(err, syscall.ECONNREFUSED) || result.CodeOf(err) == result.Restarted
 		},
-		PublishBlame: p.publishBlame, ReplicaLeaves: p.tellLeaving, LeftAlone: meter.countLeftAlone,
+		ConfirmRoutes: p.confirmRoutes,
+		PublishBlame:  p.publishBlame, ReplicaLeaves: p.tellLeaving, LeftAlone: meter.countLeftAlone,
 	})
 	return p
 }
--- a/io/daemon/stale_test.go
+++ b/io/daemon/stale_test.go
@@ -117,3 +117,19 @@
 	commitDocuments(t, d, 4, 5, 5)
 	awaitVersion(t, d, 5, time.Second)
 }
+
+// TestAgeCountsSuspendedTime guards against a confirmation that a VM takes for recent
+// after it was suspended.
+func TestAgeCountsSuspendedTime(t *testing.T) {
+	at := time.Now()
+	cases := map[string]struct {
+		now  time.Time
+		want time.Duration
+	}{
+		"a moment later": {at.Add(time.Second), time.Second},
+		"suspended":      {at.Round(0).Add(time.Minute), time.Minute},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, age(tc.now, at), tc.want) })
+	}
+}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -118,6 +118,9 @@
 	// ReplicaEnded checks over a new connection whether the process of a replica
 	// is gone: its address refuses connections or belongs to another replica.
 	ReplicaEnded func(ctx context.Context, r balance.Replica) bool
+	// ConfirmRoutes returns an error unless the routing table reflects every change
+	// that was acknowledged more than a short time ago.
+	ConfirmRoutes func(ctx context.Context) error
 	// PublishBlame commits evidence on requests that crash replicas, so that it
 	// reaches all daemons.
 	PublishBlame func(es []blame.Entry)
@@ -331,14 +334,9 @@
 // Serve handles one client request. The context ends when the client
 // disconnects.
 func (g *Gateway) Serve(ctx context.Context, w http.ResponseWriter, r Request) {
-	t := g.awaitTable(ctx, r)
-	if t == nil {
-		g.refuse(w, r, result.New(result.NoRouting, "this daemon has no routing document yet").WithRetryAfter(g.Clock().Add(defaultRetryAfter)))
-		return
-	}
-	rt := t.Lookup(r.Host, r.Path)
-	if rt == nil {
-		g.refuse(w, r, result.New(result.NoRoute, "%s%s in routing document version %d", r.Host, r.Path, t.Version()))
+	t, rt, err := g.route(ctx, r)
+	if err != nil {
+		g.refuse(w, r, err)
 		return
 	}
 	if g.draining.Load() {
@@ -367,6 +365,26 @@
 	x.observe()
 }
 
+// route returns the route of a request and the table that holds it. That there is none
+// is said only if the table is known to be recent.
+func (g *Gateway) route(ctx context.Context, r Request) (*routes.Table, *routes.Route, *result.Error) {
+	t := g.awaitTable(ctx, r)
+	if t == nil {
+		return nil, nil, result.New(result.NoRouting, "this daemon has no routing document yet").WithRetryAfter(g.Clock().Add(defaultRetryAfter))
+	}
+	if rt := t.Lookup(r.Host, r.Path); rt != nil {
+		return t, rt, nil
+	}
+	if err := g.ConfirmRoutes(ctx); err != nil {
+		return nil, nil, result.New(result.NotFresh, "no route for %s%s in routing document version %d: %w", r.Host, r.Path, t.Version(), err).WithRetryAfter(g.Clock())
+	}
+	t = g.table.Load()
+	if rt := t.Lookup(r.Host, r.Path); rt != nil {
+		return t, rt, nil
+	}
+	return nil, nil, result.New(result.NoRoute, "%s%s in routing document version %d", r.Host, r.Path, t.Version())
+}
+
 // defaultRetryAfter is when a refused client may retry: by then a routing table
 // or a replica may be available.
 const defaultRetryAfter = 500 * time.Millisecond
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -194,9 +194,10 @@
 		RequestAdmission: func(context.Context, balance.Replica, pace.AdmissionRequest) (pace.Reservation, bool) {
 			return pace.Reservation{}, false
 		},
-		Probe:        func(context.Context, balance.Replica) bool { return false },
-		ReplicaEnded: refusesConnections,
-		PublishBlame: func([]blame.Entry) {}, ReplicaLeaves: func(ident.Upstream, ident.Incarnation) {}, LeftAlone: func(string) {},
+		Probe:         func(context.Context, balance.Replica) bool { return false },
+		ReplicaEnded:  refusesConnections,
+		ConfirmRoutes: func(context.Context) error { return nil },
+		PublishBlame:  func([]blame.Entry) {}, ReplicaLeaves: func(ident.Upstream, ident.Incarnation) {}, LeftAlone: func(string) {},
 	})
 	g.SetTable(table)
 	var all []balance.Replica
