--- a/core/coordination/appoint/appoint_test.go
+++ b/core/coordination/appoint/appoint_test.go
@@ -127,6 +127,64 @@
 // makes reads again does not show that it receives the answers, since a link
 // can fail in one direction. Another daemon is appointed as soon as the lease
 // has expired; the placer returns only if there is no other.
+// TestWeakPlacerGivesWay guards against a daemon that got the role while no stronger
+// one was to be had, and keeps it although it can't answer the reports of hundreds of
+// daemons.
+func TestWeakPlacerGivesWay(t *testing.T) {
+	weak := Candidate{Name: "a", Incarnation: 1, Reachable: true, Power: 192}
+	strong := Candidate{Name: "b", Incarnation: 1, Reachable: true, Power: 512}
+	with := func(change func(c *Candidate)) Candidate {
+		c := strong
+		change(&c)
+		return c
+	}
+	cases := map[string]struct {
+		holder, other Candidate
+		retired       bool
+	}{
+		"much stronger":             {weak, strong, true},
+		"hardly stronger":           {weak, with(func(c *Candidate) { c.Power = 200 }), false},
+		"weaker":                    {strong, with(func(c *Candidate) { c.Name, c.Power = "c", 192 }), false},
+		"drains":                    {weak, with(func(c *Candidate) { c.Draining = true }), false},
+		"out of reach":              {weak, with(func(c *Candidate) { c.Reachable = false }), false},
+		"power of the other":        {weak, with(func(c *Candidate) { c.Power = 0 }), false},
+		"power of the holder":       {with(func(c *Candidate) { c.Name, c.Power = "a", 0 }), strong, false},
+		"it is strong, others weak": {with(func(c *Candidate) { c.Name = "a" }), strong, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := state.Placer{Daemon: tc.holder.Name, Incarnation: 1, Fence: 5}
+			a, h := New(start), longHistory(competingFor)
+			h.Observe(start, p)
+			var got state.Command
+			for now := start; now.Before(start.Add(10*time.Second)) && got == nil; now = now.Add(25 * time.Millisecond) {
+				a.Read(now, p)
+				got = a.Step(now, p, h, []Candidate{tc.holder, tc.other})
+				assert.Assert(t, got == nil || now.Sub(start) >= time.Second, "retired at once: the other may come and go")
+			}
+			if !tc.retired {
+				assert.Assert(t, got == nil)
+				return
+			}
+			assert.Equal(t, got, state.RetirePlacer{Fence: 5})
+		})
+	}
+}
+
+// TestPlacerStaysWhileOthersComeAndGo guards against a role that moves at each change
+// of what the leader can reach.
+func TestPlacerStaysWhileOthersComeAndGo(t *testing.T) {
+	p := state.Placer{Daemon: "a", Incarnation: 1, Fence: 5}
+	a, h := New(start), longHistory(competingFor)
+	h.Observe(start, p)
+	for i := range 400 {
+		now := start.Add(time.Duration(i) * 25 * time.Millisecond)
+		a.Read(now, p)
+		strong := Candidate{Name: "b", Incarnation: 1, Reachable: i%80 < 70, Power: 512}
+		assert.Assert(t, a.Step(now, p, h, []Candidate{{Name: "a", Incarnation: 1, Reachable: true, Power: 192}, strong}) == nil)
+	}
+}
+
 func TestSilentPlacerGivesWay(t *testing.T) {
 	a, h := New(start), longHistory(competingFor)
 	retired := state.Placer{Daemon: "a", Incarnation: 1, Fence: 5, RetiredIndex: 9}
@@ -204,7 +262,11 @@
 func (w *simulation) step(down map[ident.Daemon]bool) {
 	var cs []Candidate
 	for _, name := range []ident.Daemon{"a", "b", "c"} {
-		cs = append(cs, Candidate{Name: name, Incarnation: 1, Reachable: !down[name], Draining: w.draining[name]})
+		power := uint32(192)
+		if name == "c" {
+			power = 512
+		}
+		cs = append(cs, Candidate{Name: name, Incarnation: 1, Reachable: !down[name], Draining: w.draining[name], Power: power})
 	}
 	if cmd := w.leader.Step(w.now, w.state.View().Placer(), w.history, cs); cmd != nil {
 		w.commit(cmd)
