The placer's role moves from a weak daemon to a much stronger one

The role goes to the strongest daemon that the leader can reach at that moment. When that was a daemon without a disk, which has a third of the processor and a tenth of the link, it kept the role as long as it managed to renew its lease, though it could answer few of the reports, and its own control loop was late with everything, documents included.

The leader now retires a placer once a daemon with one and a half times its processor share has been available for 3 s.

--- a/core/coordination/appoint/appoint.go
+++ b/core/coordination/appoint/appoint.go
@@ -25,8 +25,15 @@
 	// proposalRetryInterval is the time after which a proposal that had no
 	// effect is made again.
 	proposalRetryInterval = 500 * time.Millisecond
+	// outclassedFor is how long a much stronger daemon must have been available before
+	// the role moves to it, which takes two seconds without a placer.
+	outclassedFor = 3 * time.Second
 )
 
+// muchStronger reports whether a daemon has at least one and a half times the processor
+// share of another one. It is false if either is unknown.
+func muchStronger(c, than Candidate) bool { return than.Power > 0 && 2*c.Power >= 3*than.Power }
+
 // Candidate is a daemon as seen by the leader.
 type Candidate struct {
 	Name        ident.Daemon
@@ -49,6 +56,9 @@
 	lastRead time.Time
 	// fence is the fencing number of the placer that lastRead belongs to.
 	fence ident.Fence
+	// outclassedSince is since when a much stronger daemon than the placer has been
+	// available; zero while there is none.
+	outclassedSince time.Time
 	// proposed is the last proposal; it may be repeated at retryAt.
 	proposed state.Command
 	retryAt  time.Time
@@ -83,10 +93,11 @@
 	if p.HoldsRole() {
 		if p.Fence != a.fence {
 			// A new placer has not made its first read yet.
-			a.fence, a.lastRead = p.Fence, now
+			a.fence, a.lastRead, a.outclassedSince = p.Fence, now, time.Time{}
 		}
 		unresponsive := now.Sub(a.lastRead) > maxReadGap
-		if available && !unresponsive && cs[i].Incarnation == p.Incarnation || resigning && !unresponsive {
+		sound := available && !unresponsive && cs[i].Incarnation == p.Incarnation
+		if sound && !a.outclassed(now, cs[i], h, cs) || resigning && !unresponsive {
 			return nil
 		}
 		return state.RetirePlacer{Fence: p.Fence}
@@ -109,6 +120,20 @@
 	return state.AppointPlacer{Daemon: next.Name, Incarnation: next.Incarnation, RetiredIndex: p.RetiredIndex}
 }
 
+// outclassed reports whether the role should move to a much stronger daemon. A weak
+// one may have got it while no other could be reached.
+func (a *Assigner) outclassed(now time.Time, holder Candidate, h *History, cs []Candidate) bool {
+	best, ok := chooseCandidate(cs, func(c Candidate) bool { return c.Name != holder.Name && h.mayReturn(now, c.Name) })
+	if !ok || !muchStronger(best, holder) {
+		a.outclassedSince = time.Time{}
+		return false
+	}
+	if a.outclassedSince.IsZero() {
+		a.outclassedSince = now
+	}
+	return now.Sub(a.outclassedSince) >= outclassedFor
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/core/coordination/appoint/doc.go
+++ b/core/coordination/appoint/doc.go
@@ -26,6 +26,11 @@
 // unresponsive is appointed only if there is no other candidate: that its reads
 // arrive again does not show that it receives the answers.
 //
+// The role goes to the daemon with the largest processor share of those that the
+// leader can reach at that moment. If that is a weak one, it moves once a much
+// stronger one has been available for a while: the placer's work grows with the
+// number of daemons and replicas, and a placer that can't do it stops all loads.
+//
 // # Clocks
 //
 // The monotonic clock stops while a VM is suspended, and the wall clock can
