What a replica sends without end does not fill the memory of a daemon

Here each answer had its limit (64 KiB of head, 1 MiB of body or event, 16 MiB on the own interface), but hundreds of them together had none, and what was passed on to a client that takes it slowly had 32 MiB for each connection.

- client.Memory limits what incomplete answers hold together, an eighth of the memory of the process.
If there is no room, the answer that holds most is given up, and its replica is judged as one that fails.
- A stream waits until its client has taken all but 256 KiB (server.AwaitRoom), so the replica is not read any faster.
- 64 KiB of events without an id end a stream: they are no answer.
- Own interface: lines count in the same way, streams wait too, and a text that is not streamed ends at 1 MiB; it had no limit.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -60,6 +60,9 @@
 	folder      *disk.Folder
 	writer      *disk.Writer
 
+	// responses limits the memory for incomplete responses of upstreams.
+	responses *client.Memory
+
 	callerServer, operatorServer, peerServer *server.Server
 	// metricsServer serves metrics without a token. It is nil unless the
 	// settings configure an address for it.
@@ -86,7 +89,8 @@
 		metrics: scrape.New(map[string]string{"daemon": string(s.Name())}),
 	}
 	d.view.Store(&view{state: state.New().View()})
-	conns := client.NewFrom(s.Peer().Addr())
+	d.responses = client.NewMemory(responseMemory(s))
+	conns := client.NewFrom(s.Peer().Addr()).WithMemory(d.responses)
 	d.conns = conns
 	d.upstreams = upstream.NewClient(conns)
 	d.forwarder = caller.NewForwarder(conns, d.self, s.Token())
@@ -118,6 +122,17 @@
 	return d, nil
 }
 
+// responseShare divides the memory of the process for incomplete responses.
+const responseShare = 8
+
+// responseMemory returns the limit for incomplete responses in bytes.
+func responseMemory(s settings.Settings) int {
+	if m := s.Platform().MemoryLimitMiB(); m > 0 {
+		return m << 20 / responseShare
+	}
+	return client.DefaultMemory
+}
+
 // newIncarnation returns a number that increases from one run of a daemon to
 // the next as long as the wall clock does; see the package comment of
 // core/coordination/witness. The random low bits tell runs of the same
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -72,7 +72,7 @@
 func (d *Daemon) Platform() *Platform { return d.platform }
 
 func newPlatform(d *Daemon, dialect Dialect) *Platform {
-	conns := client.NewForReplicas(d.settings.Platform().Front().Addr())
+	conns := client.NewForReplicas(d.settings.Platform().Front().Addr()).WithMemory(d.responses)
 	p := &Platform{d: d, dialect: dialect, replicas: conns}
 	meter := newRoutedMeter(d.metrics.Scope())
 	p.gateway = gateway.New(gateway.Config{
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -15,6 +15,7 @@
 	"papayaspoke/core/coordination/balance"
 	"papayaspoke/core/result"
 	"papayaspoke/io/transport/client"
+	"papayaspoke/io/transport/server"
 )
 
 const (
@@ -22,6 +23,8 @@
 	readSize = 4 << 10
 	// maxEventSize is the size limit of one event, in bytes.
 	maxEventSize = 1 << 20
+	// maxUnnumbered is how many bytes of events without an id may follow one another.
+	maxUnnumbered = 64 << 10
 )
 
 // eventTerminator is the empty line after an event.
@@ -41,15 +44,18 @@
 		n, rerr := a.Body().Read(buf)
 		if n > 0 {
 			whole, err := e.add(buf[:n])
+			if err == nil {
+				err = a.Hold(e.rest())
+			}
 			if err != nil {
 				a.Discard()
 				return x.streamFailed(ctx, err)
 			}
 			w.arrived(len(whole) > 0)
 			if len(whole) > 0 {
-				if werr := x.forwardEvents(a, whole); werr != nil {
+				if werr := x.forwardEvents(ctx, a, whole); werr != nil {
 					a.Discard()
-					return giveUp, balance.Neutral, errClientGone
+					return x.forwardFailed()
 				}
 				x.lastEventID = e.lastEventID
 			}
@@ -69,9 +75,17 @@
 	}
 }
 
+// forwardFailed handles a stream that the client does not take.
+func (x *exchange) forwardFailed() (disposition, balance.Outcome, error) {
+	if x.g.Clock().Before(x.deadline) {
+		return giveUp, balance.Neutral, errClientGone
+	}
+	return giveUp, balance.Neutral, result.New(result.TimedOut, "the client has not taken the stream of replica %s in time", x.replica)
+}
+
 // forwardEvents writes whole events to the client, after the head of the first
-// response.
-func (x *exchange) forwardEvents(a *client.Answer, whole []byte) error {
+// response, and waits until the client has taken most of them.
+func (x *exchange) forwardEvents(ctx context.Context, a *client.Answer, whole []byte) error {
 	x.forwardHead(a)
 	now := x.g.Clock()
 	if !x.lastChunkAt.IsZero() {
@@ -83,7 +97,7 @@
 		return err
 	}
 	x.flush(now)
-	return nil
+	return server.AwaitRoom(ctx, x.w)
 }
 
 // flush sends what was written to the network: at once if nothing was flushed
@@ -173,7 +187,7 @@
 	switch {
 	case errors.Is(err, errUnresponsive), errors.Is(err, errTrickling):
 		return EndedByGateway
-	case errors.Is(err, errNotConsecutive), errors.Is(err, errEventTooLarge):
+	case errors.Is(err, errNotConsecutive), errors.Is(err, errEventTooLarge), errors.Is(err, errUnnumbered), errors.Is(err, client.ErrNoMemory):
 		return EndedByInvalidEvent
 	case errors.Is(err, syscall.ECONNRESET):
 		return EndedByReset
@@ -199,11 +213,14 @@
 	lastEventID string
 	// resumed is true if the next event must follow lastEventID.
 	resumed bool
+	// unnumbered is the size in bytes of the events since the last one with an id.
+	unnumbered int
 }
 
 var (
 	errNotConsecutive = errors.New("the replica did not continue with the next event")
 	errEventTooLarge  = errors.New("an event exceeds the size limit")
+	errUnnumbered     = errors.New("the replica goes on without an id")
 )
 
 // add appends received bytes and returns the events that are complete now. The
@@ -227,8 +244,12 @@
 			return nil, errNotConsecutive
 		}
 		if !ok {
+			if e.unnumbered += len(event); e.unnumbered > maxUnnumbered {
+				return nil, errUnnumbered
+			}
 			continue
 		}
+		e.unnumbered = 0
 		if e.resumed && !isNextID(e.lastEventID, id) {
 			return nil, errNotConsecutive
 		}
--- a/io/gateway/stream_test.go
+++ b/io/gateway/stream_test.go
@@ -186,3 +186,30 @@
 		return ""
 	}
 }
+
+// TestEventsWithoutIDsEnd guards against replicas that send bytes without end which only
+// look like events.
+func TestEventsWithoutIDsEnd(t *testing.T) {
+	line := strings.Repeat("x", 1000)
+	cases := map[string]struct {
+		event string
+		want  error
+	}{
+		"comments": {":" + line + "\n\n", errUnnumbered},
+		"data":     {"data: " + line + "\n\n", errUnnumbered},
+		"ids":      {"id: 5\ndata: " + line + "\n\n", nil},
+		"signs":    {":\n\n", nil},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := eventParser{}
+			var err error
+			for range 200 {
+				if _, err = e.add([]byte(tc.event)); err != nil {
+					break
+				}
+			}
+			assert.Equal(t, err, tc.want)
+		})
+	}
+}
--- a/io/protocol/caller/caller_test.go
+++ b/io/protocol/caller/caller_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -350,3 +351,35 @@
 	assert.Equal(t, result.CodeOf(err), result.KeyReused)
 	assert.Equal(t, calls, 2)
 }
+
+// TestEndlessTextIsCutOff guards against an engine whose text never ends and fills the
+// memory of the daemon, if the caller wants the answer whole or takes it slowly.
+func TestEndlessTextIsCutOff(t *testing.T) {
+	line := strings.Repeat("x", 1000)
+	for name, stream := range map[string]bool{"whole": false, "streamed": true} {
+		t.Run(name, func(t *testing.T) {
+			var taken atomic.Int64
+			endless := caller.NewAnswer(letters, "base", "e1", func() (string, error) {
+				if taken.Add(int64(len(line))) > 64<<20 {
+					return "", io.EOF
+				}
+				return line, nil
+			}, func() {})
+			done := make(chan struct{})
+			addr := serve(t, &caller.Handler{Infer: func(ctx context.Context, _ caller.InferRequest) (*caller.Answer, error) {
+				go func() { <-ctx.Done(); close(done) }()
+				return endless, nil
+			}})
+			resp := post(t, addr, "/v1/completions", fmt.Sprintf(`{"model":"letters@3","prompt":"p","stream":%t}`, stream))
+			if stream {
+				time.Sleep(500 * time.Millisecond)
+			}
+			_ = resp.Body.Close()
+			<-done
+			assert.Assert(t, taken.Load() < 24<<20, "%d bytes of text were taken", taken.Load())
+			if !stream {
+				assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+			}
+		})
+	}
+}
--- a/io/protocol/caller/client.go
+++ b/io/protocol/caller/client.go
@@ -53,7 +53,7 @@
 		end()
 		return nil, result.New(result.WrongAnswer, "requested adapter %q, answered by %q", adapterName(x.Adapter), got)
 	}
-	r := &eventReader{lines: bufio.NewReader(a.Body()), requestID: a.Header().Get(RequestHeader)}
+	r := &eventReader{lines: bufio.NewReader(a.Body()), hold: a.Hold, requestID: a.Header().Get(RequestHeader)}
 	return NewAnswer(x.Adapter, x.Model, ident.Upstream(a.Header().Get(UpstreamHeader)), r.next, end), nil
 }
 
--- a/io/protocol/caller/forward.go
+++ b/io/protocol/caller/forward.go
@@ -104,7 +104,7 @@
 		return nil, false, responseError(answer, result.UpstreamFailed)
 	}
 	answer.SetIdleDeadline(f.idleDeadline)
-	r := &eventReader{lines: bufio.NewReader(answer.Body()), requestID: string(x.ID)}
+	r := &eventReader{lines: bufio.NewReader(answer.Body()), hold: answer.Hold, requestID: string(x.ID)}
 	o, err := r.readOrigin()
 	if err == nil && o.Adapter != adapterName(x.Adapter) {
 		err = result.New(result.WrongAnswer, "requested adapter %q, answered by %q", adapterName(x.Adapter), o.Adapter)
--- a/io/protocol/caller/handler.go
+++ b/io/protocol/caller/handler.go
@@ -126,7 +126,7 @@
 	}
 	defer a.Close()
 	if x.Stream {
-		return h.streamAnswer(w, x, a)
+		return h.streamAnswer(ctx, w, x, a)
 	}
 	return h.writeCompleteAnswer(w, x, a)
 }
@@ -138,6 +138,9 @@
 	return context.WithDeadline(ctx, t)
 }
 
+// maxTextBytes limits the text of an answer that is not streamed.
+const maxTextBytes = 1 << 20
+
 // writeCompleteAnswer collects the answer and sends it in one response. Only
 // [io.EOF] itself is the end: an error that wraps it means that the connection
 // ended early.
@@ -152,6 +155,9 @@
 		if err != nil {
 			return err
 		}
+		if text.Len()+len(chunk) > maxTextBytes {
+			return result.New(result.UpstreamFailed, "the text is longer than %d bytes", maxTextBytes)
+		}
 		chunks++
 		text.WriteString(chunk)
 	}
@@ -163,7 +169,7 @@
 // streamAnswer sends the answer as it is generated. An error before the first
 // chunk is returned, so that it is sent with its HTTP status; a later one is
 // sent as an event.
-func (h *Handler) streamAnswer(w http.ResponseWriter, x InferRequest, a *Answer) error {
+func (h *Handler) streamAnswer(ctx context.Context, w http.ResponseWriter, x InferRequest, a *Answer) error {
 	chunk, err := a.Next()
 	if err != nil && err != io.EOF {
 		return err
@@ -171,7 +177,7 @@
 	setOrigin(w.Header(), a)
 	e := newEventWriter(w, x)
 	for err == nil {
-		if !e.writeChunk(a, chunk) {
+		if !e.writeChunk(a, chunk) || server.AwaitRoom(ctx, w) != nil {
 			server.Abort(w)
 			return nil
 		}
--- a/io/protocol/caller/reader.go
+++ b/io/protocol/caller/reader.go
@@ -15,7 +15,9 @@
 
 // eventReader reads the events of one streamed answer.
 type eventReader struct {
-	lines     *bufio.Reader
+	lines *bufio.Reader
+	// hold states how many bytes of the answer are kept in memory.
+	hold      func(size int) error
 	requestID string
 	// eventName is the name of the event being read, empty for a chunk of
 	// text.
@@ -61,7 +63,7 @@
 	if r.final != nil {
 		return "", false
 	}
-	line, err := wire.ReadLine(r.lines, maxEventBytes)
+	line, err := wire.ReadLine(r.lines, maxEventBytes, r.hold)
 	if err != nil {
 		r.final = result.New(result.StreamCut, "stream ended before [DONE]: %w", err)
 		return "", false
--- a/io/protocol/caller/relay.go
+++ b/io/protocol/caller/relay.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"papayaspoke/io/transport/server"
 )
 
 // keepAliveInterval is the interval of keepalive comments while a daemon waits
@@ -40,7 +42,7 @@
 		case err != nil:
 			e.writeError(withResultCode(err))
 			return
-		case !e.writeChunk(a, text):
+		case !e.writeChunk(a, text) || server.AwaitRoom(ctx, w) != nil:
 			return
 		}
 	}
--- a/io/protocol/upstream/stream.go
+++ b/io/protocol/upstream/stream.go
@@ -100,8 +100,8 @@
 // readLine returns the text of the next line, [io.EOF] after the last one, a
 // cutError if the connection failed, or else an error with a result code.
 func (s *Stream) readLine() (string, error) {
-	raw, err := wire.ReadLine(s.lines, maxLineBytes)
-	if errors.Is(err, wire.ErrLineTooLong) {
+	raw, err := wire.ReadLine(s.lines, maxLineBytes, s.answer.Hold)
+	if errors.Is(err, wire.ErrLineTooLong) || errors.Is(err, client.ErrNoMemory) {
 		return "", result.New(result.WrongAnswer, "%w", err)
 	}
 	if err != nil {
--- a/io/transport/client/client.go
+++ b/io/transport/client/client.go
@@ -41,7 +41,8 @@
 type Client struct {
 	pooled *http.Transport
 	// fresh makes a new connection for each request.
-	fresh *http.Transport
+	fresh  *http.Transport
+	memory *Memory
 }
 
 // limits are the timeouts in which kinds of clients differ.
@@ -76,7 +77,12 @@
 	if local.IsValid() {
 		localAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))
 	}
-	return &Client{pooled: newTransport(localAddr, l, false), fresh: newTransport(localAddr, l, true)}
+	return &Client{pooled: newTransport(localAddr, l, false), fresh: newTransport(localAddr, l, true), memory: NewMemory(DefaultMemory)}
+}
+
+// WithMemory returns a client with the same connections whose responses share m.
+func (c *Client) WithMemory(m *Memory) *Client {
+	return &Client{pooled: c.pooled, fresh: c.fresh, memory: m}
 }
 
 func newTransport(localAddr net.Addr, l limits, fresh bool) *http.Transport {
@@ -231,17 +237,37 @@
 	a.body.idleDeadline = deadline
 }
 
-// ReadAll returns the complete body. It fails if the body is larger than limit bytes
-// or ends early.
+// Hold states how many bytes of the response are kept in memory. It fails with
+// [ErrNoMemory] if that is too much beside all other responses. Closing the body
+// releases them.
+func (a *Answer) Hold(size int) error { return a.body.hold.set(size) }
+
+// minReadBuffer is the initial size of the buffer for a body.
+const minReadBuffer = 1 << 10
+
+// ReadAll returns the complete body. It fails if the body is larger than limit bytes,
+// takes too much memory beside all other responses, or ends early.
 func (a *Answer) ReadAll(limit int) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(a.body, int64(limit)+1))
-	if err != nil {
-		return nil, fmt.Errorf("read body: %w", err)
-	}
-	if len(b) > limit {
-		return nil, fmt.Errorf("body is larger than %d bytes", limit)
+	buf := make([]byte, 0, min(minReadBuffer, limit+1))
+	for {
+		n, err := a.body.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		switch {
+		case len(buf) > limit:
+			return nil, fmt.Errorf("body is larger than %d bytes", limit)
+		case err == io.EOF:
+			return buf, nil
+		case err != nil:
+			return nil, fmt.Errorf("read body: %w", err)
+		case len(buf) < cap(buf):
+			continue
+		}
+		size := min(2*cap(buf), limit+1)
+		if err := a.Hold(size); err != nil {
+			return nil, err
+		}
+		buf = append(make([]byte, 0, size), buf...)
 	}
-	return b, nil
 }
 
 var errUnresponsive = errors.New("connection is unresponsive")
@@ -332,6 +358,7 @@
 	}
 	b := &body{inner: resp.Body, watchdog: watch, cancel: cancel, ctx: ctx}
 	answer := &Answer{status: resp.StatusCode, header: resp.Header, body: b, reused: reused.Load()}
+	b.hold = &hold{memory: c.memory, giveUp: answer.Discard}
 	answer.endMarked = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	if c := conn.Load(); c != nil {
 		answer.conn = *c
@@ -402,6 +429,7 @@
 	cancel       context.CancelCauseFunc
 	ctx          context.Context
 	idleDeadline func(now time.Time) time.Time
+	hold         *hold
 }
 
 func (b *body) Read(p []byte) (int, error) {
@@ -411,6 +439,9 @@
 	}
 	n, err := b.inner.Read(p)
 	if err != nil && err != io.EOF {
+		if b.hold.isLost() {
+			return n, ErrNoMemory
+		}
 		if cause := context.Cause(b.ctx); cause != nil {
 			err = fmt.Errorf("%w: %w", cause, err)
 		}
@@ -420,6 +451,7 @@
 
 func (b *body) Close() error {
 	b.watchdog.stop()
+	b.hold.release()
 	b.cancel(nil)
 	return b.inner.Close()
 }
--- a/io/transport/server/conn.go
+++ b/io/transport/server/conn.go
@@ -40,6 +40,9 @@
 	// unsent is the number of bytes written by handlers and not yet accepted by
 	// the kernel. It is never negative.
 	unsent int
+	// room is closed when the peer has taken enough of what was written, or the
+	// connection is closed; nil if nobody waits for that.
+	room chan struct{}
 	// timer bounds the arrival of an incomplete request; nil if there is none.
 	timer *time.Timer
 }
@@ -70,6 +73,7 @@
 	c := v.(*conn)
 	c.mu.Lock()
 	c.unsent = max(0, c.unsent-n)
+	c.signalRoom()
 	idle := c.unsent == 0 && len(c.jobs) == 0
 	c.mu.Unlock()
 	if idle {
@@ -245,12 +249,44 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
+	c.signalRoom()
 	c.stopTimer()
 	if c.cancel != nil {
 		c.cancel(ErrConnClosed)
 	}
 }
 
+// signalRoom wakes those that wait for room; c.mu must be held.
+func (c *conn) signalRoom() {
+	if c.room != nil && (c.closed || c.unsent <= maxBacklog) {
+		close(c.room)
+		c.room = nil
+	}
+}
+
+// awaitRoom waits until at most maxBacklog bytes are unsent.
+func (c *conn) awaitRoom(ctx context.Context) error {
+	c.mu.Lock()
+	if c.closed || c.unsent <= maxBacklog {
+		defer c.mu.Unlock()
+		if c.closed {
+			return net.ErrClosed
+		}
+		return nil
+	}
+	if c.room == nil {
+		c.room = make(chan struct{})
+	}
+	room := c.room
+	c.mu.Unlock()
+	select {
+	case <-room:
+		return c.awaitRoom(ctx)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // beginRequest returns the context of a request that starts to run. The context is
 // cancelled when the connection is closed.
 func (c *conn) beginRequest(parent context.Context) (context.Context, context.CancelCauseFunc) {
--- a/io/transport/server/server_test.go
+++ b/io/transport/server/server_test.go
@@ -402,3 +402,39 @@
 	_, err := server.Listen(s.Addr(), http.NotFoundHandler(), server.Options{})
 	assert.ErrorContains(t, err, "address already in use")
 }
+
+// TestSlowPeerHoldsTheWriterUp guards against streams that are kept in memory, since
+// their peer takes them more slowly than they come.
+func TestSlowPeerHoldsTheWriterUp(t *testing.T) {
+	const total = 64 << 20
+	written, ended := make(chan int, 1), make(chan error, 1)
+	s := listen(t, server.Options{}, func(w http.ResponseWriter, r *http.Request) {
+		n := 0
+		var err error
+		for ctx := r.Context(); n < total && err == nil; err = server.AwaitRoom(ctx, w) {
+			m, _ := w.Write(make([]byte, 8<<10))
+			w.(http.Flusher).Flush()
+			n += m
+			select {
+			case <-written:
+			default:
+			}
+			written <- n
+		}
+		ended <- err
+	})
+	c := dial(t, s)
+	_, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.NilError(t, err)
+	time.Sleep(500 * time.Millisecond)
+	n := <-written
+	// The kernels of both ends buffer up to 6 MiB, and 4 MiB.
+	assert.Assert(t, n < 12<<20, "%d bytes were taken for a peer that reads none", n)
+	assert.NilError(t, c.Close())
+	select {
+	case err := <-ended:
+		assert.Assert(t, err != nil)
+	case <-time.After(testTimeout):
+		t.Fatal("the handler still waits for a peer that is gone")
+	}
+}
--- a/io/transport/server/writer.go
+++ b/io/transport/server/writer.go
@@ -19,6 +19,9 @@
 // flush. The library sends larger writes from a buffer that it has already freed.
 const maxUnflushed = 16 << 10
 
+// maxBacklog is how many bytes of a response may be unsent before [AwaitRoom] waits.
+const maxBacklog = 256 << 10
+
 // StatusHeader carries the exact status if the library can't send it. The response
 // then has the generic status of its class.
 const StatusHeader = "Papayaspoke-Status"
@@ -33,15 +36,33 @@
 // Abort closes the connection of w so that the peer can't mistake the response for a
 // complete one. It must be called before the handler returns.
 func Abort(w http.ResponseWriter) {
+	v := unwrap(w)
+	if v == nil {
+		panic(http.ErrAbortHandler)
+	}
+	v.abort()
+}
+
+// AwaitRoom waits until the peer has taken most of what was written to w, so that a
+// response that a slow peer does not take is not kept in memory. It fails if the
+// connection is closed or ctx ends first.
+func AwaitRoom(ctx context.Context, w http.ResponseWriter) error {
+	if v := unwrap(w); v != nil {
+		return v.conn.awaitRoom(ctx)
+	}
+	return nil
+}
+
+// unwrap returns the writer of this package in w, or nil.
+func unwrap(w http.ResponseWriter) *writer {
 	for {
 		switch v := w.(type) {
 		case *writer:
-			v.abort()
-			return
+			return v
 		case interface{ Unwrap() http.ResponseWriter }:
 			w = v.Unwrap()
 		default:
-			panic(http.ErrAbortHandler)
+			return nil
 		}
 	}
 }
