--- a/core/coordination/witness/follow_test.go
+++ b/core/coordination/witness/follow_test.go
@@ -35,15 +35,7 @@
 	}
 	for name, drop := range cases {
 		t.Run(name, func(t *testing.T) {
-			c := newClusterOf(t, daemons, func(d ident.Daemon) bool { return core(d) < 0 })
-			witnesses := c.names[:disks]
-			c.commit(witnesses, c.names[0])
-			c.step(c.nodes[c.names[0]], witness.Leading{On: true})
-			c.run(600 * time.Millisecond)
-			for _, d := range witnesses {
-				c.answerRead(d)
-			}
-			c.run(3 * time.Second)
+			c, witnesses := newFollowedCluster(t, daemons, disks)
 			c.drop = drop
 			// A majority of the core commits an entry.
 			c.commit(witnesses, witnesses[:3]...)
@@ -112,15 +104,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			c := newClusterOf(t, daemons, func(d ident.Daemon) bool { return core(d) < 0 })
-			witnesses := c.names[:disks]
-			c.commit(witnesses, c.names[0])
-			c.step(c.nodes[c.names[0]], witness.Leading{On: true})
-			c.run(600 * time.Millisecond)
-			for _, d := range witnesses {
-				c.answerRead(d)
-			}
-			c.run(3 * time.Second)
+			c, witnesses := newFollowedCluster(t, daemons, disks)
 			c.drop, c.delay = tc.drop, tc.delay
 			committedAt := make(map[uint64]time.Time)
 			for i := range 20 {
@@ -157,15 +141,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			c := newClusterOf(t, daemons, func(d ident.Daemon) bool { return core(d) < 0 })
-			witnesses := c.names[:disks]
-			c.commit(witnesses, c.names[0])
-			c.step(c.nodes[c.names[0]], witness.Leading{On: true})
-			c.run(600 * time.Millisecond)
-			for _, d := range witnesses {
-				c.answerRead(d)
-			}
-			c.run(3 * time.Second)
+			c, _ := newFollowedCluster(t, daemons, disks)
 			c.drop = tc.drop
 			for range 20 {
 				c.run(200 * time.Millisecond)
@@ -181,17 +157,9 @@
 // TestUninformedDaemonAsksEverybody guards against a daemon that knows no witness yet
 // and asks the same few members again and again, none of which answers.
 func TestUninformedDaemonAsksEverybody(t *testing.T) {
-	follows := func(d ident.Daemon) bool { return d > "d02" }
-	c := newClusterOf(t, 11, follows)
-	c.commit(c.names[:3], c.names[0])
-	c.step(c.nodes["d00"], witness.Leading{On: true})
-	c.run(600 * time.Millisecond)
-	for _, d := range c.names[:3] {
-		c.answerRead(d)
-	}
-	c.run(time.Second)
+	c, witnesses := newFollowedCluster(t, 11, 3)
 	// The members that are no witnesses don't answer it.
-	c.drop = func(p packet) bool { return p.from.name == "d10" && follows(p.to) }
+	c.drop = func(p packet) bool { return p.from.name == "d10" && !slices.Contains(witnesses, p.to) }
 	for range 20 {
 		c.start("d10")
 		c.run(2 * time.Second)
@@ -199,6 +167,22 @@
 	}
 }
 
+// newFollowedCluster returns a running cluster in which the first daemons are the
+// witnesses, led by the first of them, and the others follow.
+func newFollowedCluster(t *testing.T, daemons, disks int) (c *cluster, witnesses []ident.Daemon) {
+	t.Helper()
+	witnesses = daemonNames(disks)
+	c = newClusterOf(t, daemons, func(d ident.Daemon) bool { return !slices.Contains(witnesses, d) })
+	c.commit(witnesses, witnesses[0])
+	c.step(c.nodes[witnesses[0]], witness.Leading{On: true})
+	c.run(600 * time.Millisecond)
+	for _, d := range witnesses {
+		c.answerRead(d)
+	}
+	c.run(3 * time.Second)
+	return c, witnesses
+}
+
 // daemonNames returns the names of the first n daemons of a cluster.
 func daemonNames(n int) []ident.Daemon {
 	var out []ident.Daemon
--- a/io/daemon/delay.go
+++ b/io/daemon/delay.go
@@ -24,19 +24,17 @@
 // loopDelay holds the longest delays of the control loop since the gauges were
 // last updated.
 type loopDelay struct {
-	// wait is the longest time that a function was in the inbox, step the longest
-	// run of one function or tick.
-	wait, step time.Duration
+	// wait is the longest time that a function was in an inbox, step the longest run
+	// of one function or tick, and tickGap the longest time between two ticks.
+	wait, step, tickGap time.Duration
 	// tickedAt is when the last tick began.
 	tickedAt time.Time
-	// tickGap is the longest time between two ticks.
-	tickGap time.Duration
 	// nextLogAt and nextBehindAt are when the next line on a late loop and on the
 	// lag behind the log may be written.
 	nextLogAt, nextBehindAt time.Time
 }
 
-// runPosted runs a function from the inbox.
+// runPosted runs a function from an inbox.
 func (c *control) runPosted(p posted) {
 	now := c.clock()
 	c.delay.wait = max(c.delay.wait, now.Sub(p.at))
