--- a/review/_kit2/disks.go
+++ b/review/_kit2/disks.go
@@ -144,6 +144,7 @@
 			}
 			w.note("%s answers a read of the config: status %d, version %d", d.name, status, c.Version)
 		}
+		time.Sleep(250 * time.Millisecond)
 	}
 	w.say("%d machines lost their disks one after the other; config %d was acknowledged %.1f s before the reads, which gave version %d (0: none)", lost, acked, time.Since(at).Seconds(), newest)
 	return newest < acked
