--- a/review/_kit2/cases.go
+++ b/review/_kit2/cases.go
@@ -174,7 +174,7 @@
 	for i := range replicas {
 		r := &replica{
 			id: fmt.Sprintf("i-scribe%d-1", i+1), addr: fmt.Sprintf("127.51.%d.1:%d", i+1, port+i),
-			args: []string{"--service", "scribe", "--zone", fmt.Sprintf("z%d", i%3+1), "--slots", "64", "--model", "daka51", "--deadly", "dead0001", "--load", "780ms"},
+			args: []string{"--service", "scribe", "--zone", fmt.Sprintf("z%d", i%3+1), "--slots", "64", "--model", "daka51", "--deadly", "dead0001", "--load", "1100ms"},
 		}
 		if flag != "" {
 			r.args = append(r.args, flag)
--- a/review/_kit2/world.go
+++ b/review/_kit2/world.go
@@ -106,7 +106,7 @@
 		base := 12000 + rand.IntN(16000)
 		free := true
 		for p := base; p < base+n; p++ {
-			l, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", p))
+			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
 			if err != nil {
 				free = false
 				break
