client: a response whose status line is not valid is no answer

Callers saw: a replica answered with status 000, and the client got its body as a 200. The same with 001 to 099, "+20", 101, and with 600 to 999, which became a 502 with the replica's headers and body.

Cause: net/http accepts three characters that strconv.Atoi reads, any version of one digit and one, any bytes in the reason and more than one space, in final and in interim heads, and takes 101 for a final status although no request asks for another protocol. Nothing behind it checked the status, and the server's writer skips a status below 200, after which the body goes out as a 200.

Fix: connections record what arrives from the beginning of an exchange on, and a transport around net/http's checks each status line of the recorded head by RFC 9112: HTTP/1.x, one space, 100 to 599, no 101, no control bytes in the reason. A response that fails is an error of the exchange that may have been sent, so requests that may run once are not repeated and no promise is made. The raw bytes are needed, since net/http drops interim heads and trims lines. Every reader of answers goes through it: gateway, orders, reports and probes of replicas, the own engines and plain services, daemons that forward to each other, gossip and log. The operators' client had a transport of its own and now uses the same one.

--- a/io/protocol/operator/client.go
+++ b/io/protocol/operator/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"papayaspoke/core/result"
+	"papayaspoke/io/transport/client"
 )
 
 // Client calls the operators' interface of one of several daemons. It tries
@@ -23,8 +24,7 @@
 // NewClient returns a client for the daemons at the given addresses, each
 // IP:PORT.
 func NewClient(addresses []string, token string) *Client {
-	transport := &http.Transport{DisableCompression: true}
-	return &Client{addresses: addresses, token: token, http: &http.Client{Transport: transport}}
+	return &Client{addresses: addresses, token: token, http: client.New().HTTP()}
 }
 
 // Change sends a change. A refusal is returned as an answer, not as an error;
--- a/io/transport/client/client.go
+++ b/io/transport/client/client.go
@@ -38,9 +38,9 @@
 // Client sends requests over pooled or new connections. It is safe for concurrent
 // use.
 type Client struct {
-	pooled *http.Transport
+	pooled transport
 	// fresh makes a new connection for each request.
-	fresh  *http.Transport
+	fresh  transport
 	memory *Memory
 }
 
@@ -84,15 +84,15 @@
 	return &Client{pooled: c.pooled, fresh: c.fresh, memory: m}
 }
 
-func newTransport(localAddr net.Addr, l limits, fresh bool) *http.Transport {
+func newTransport(localAddr net.Addr, l limits, fresh bool) transport {
 	d := &net.Dialer{
 		LocalAddr:       localAddr,
 		Timeout:         l.dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3},
 		Control:         func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, l.unackedMillis) },
 	}
-	return &http.Transport{
-		DialContext:        d.DialContext,
+	return transport{&http.Transport{
+		DialContext:        wrapConns(d.DialContext),
 		DisableCompression: true,
 		DisableKeepAlives:  fresh,
 		MaxIdleConns:       0,
@@ -100,7 +100,7 @@
 		MaxResponseHeaderBytes: maxHeadBytes,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        l.idleTimeout,
-	}
+	}}
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT, which bounds how long sent data may stay
@@ -285,12 +285,12 @@
 // try sends x once. The connection is closed if the head of the response doesn't
 // arrive in time: by headBy on a reused connection, and by the deadline that x sets
 // for new connections otherwise.
-func (c *Client) try(ctx context.Context, transport *http.Transport, x Exchange, headBy time.Time) (*Answer, *Failure) {
+func (c *Client) try(ctx context.Context, transport transport, x Exchange, headBy time.Time) (*Answer, *Failure) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	var gotConn, reused atomic.Bool
 	var conn atomic.Pointer[net.Conn]
 	watch := &watchdog{cancel: cancel}
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+	onConn := func(info httptrace.GotConnInfo) {
 		gotConn.Store(true)
 		conn.Store(&info.Conn)
 		reused.Store(info.Reused)
@@ -301,8 +301,8 @@
 		if !deadline.IsZero() {
 			watch.setDeadline(deadline)
 		}
-	}}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), x.Method, x.URL, nil)
+	}
+	req, err := http.NewRequestWithContext(ctx, x.Method, x.URL, nil)
 	if err != nil {
 		cancel(nil)
 		return nil, &Failure{cause: err}
@@ -313,7 +313,7 @@
 	}
 	setBody(req, x)
 	setTarget(req, x)
-	resp, err := transport.RoundTrip(req)
+	resp, err := transport.roundTrip(req, onConn)
 	watch.stop()
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
--- a/io/transport/client/doc.go
+++ b/io/transport/client/doc.go
@@ -1,7 +1,9 @@
 // Package client sends HTTP requests and reads streamed responses.
 //
 // It is built on net/http rather than on the client of nbhttp, which delivers
-// complete bodies only, while responses here are streamed.
+// complete bodies only, while responses here are streamed. net/http accepts
+// responses that are not valid HTTP/1.1, and some of them then mean something else;
+// here they are errors.
 //
 // An open connection can become unresponsive for good while new connections to the
 // same address work. An idempotent exchange therefore waits on a pooled connection
