server: a status is sent as it is or not at all

Callers saw: a replica's or service's status that net/http has no name for became the first of its class: 299 a 200, 499 a 400, 520 a 500, on the platform's interface and on the own one. A handler that set a status below 200 got a 200 on the wire, one above 599 a 502 with the same body.

Cause: nbhttp ignores a status without a name and then writes 200, so the writer replaced it, and told the real one in Papayaspoke-Status only. It skipped statuses below 200 altogether.

Fix: the head passes through the connection's wrapper, which writes the status line with the status that the handler set. A status outside 200 to 599 aborts the response and is logged. Papayaspoke-Status is no longer sent; it is still read, since daemons of an earlier version send it while a cluster is updated.

TestUnknownStatusKeepsItsClass stated the fault: it wanted 500 for 599 and 400 for 499.

--- a/io/gateway/broken_test.go
+++ b/io/gateway/broken_test.go
@@ -50,3 +50,23 @@
 		}
 	}
 }
+
+// TestStatusIsPassedOn checks that clients get the status that the replica sent, also
+// one without a name.
+func TestStatusIsPassedOn(t *testing.T) {
+	for _, status := range []int{200, 203, 218, 299, 302, 306, 399, 400, 404, 419, 444, 499, 500, 520, 599} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			t.Parallel()
+			x := newTestReplica(t, "x", func(w io.Writer, r *http.Request, _ int) bool {
+				writeResponse(w, r, status, "", "made")
+				return true
+			})
+			g := newTestGatewayWithLimits(t, routes.Route{Timeout: 2 * time.Second, MaxAttempts: 1}, unlimitedRetries, nil, x)
+			for _, path := range brokenAnswerPaths {
+				resp, body, cut := g.send(t, http.MethodPost, path)
+				assert.Assert(t, resp != nil && !cut)
+				assert.Check(t, resp.StatusCode == status && body == "made", "%s: status %d, body %q", path, resp.StatusCode, body)
+			}
+		})
+	}
+}
--- a/io/protocol/caller/caller_test.go
+++ b/io/protocol/caller/caller_test.go
@@ -27,7 +27,7 @@
 
 var letters = ident.Adapter{Name: "letters", Version: "3"}
 
-func serve(t *testing.T, h *caller.Handler) string {
+func serve(t *testing.T, h http.Handler) string {
 	t.Helper()
 	s, err := server.Listen("127.0.0.1:0", h, server.Options{Refuse: wire.Refuse})
 	assert.NilError(t, err)
@@ -352,6 +352,32 @@
 	assert.Equal(t, calls, 2)
 }
 
+// TestStatusOfServiceIsPassedOn checks that callers get the status of a service as it
+// is, from a daemon and through another one.
+func TestStatusOfServiceIsPassedOn(t *testing.T) {
+	for _, status := range []int{201, 299, 399, 404, 499, 503, 520, 599} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			reply := func(context.Context, caller.ServiceRequest) (*caller.ServiceReply, error) {
+				return &caller.ServiceReply{Status: status, Body: []byte("made")}, nil
+			}
+			resp := post(t, serve(t, &caller.Handler{Call: reply}), "/v1/services/booking/turns", "turn")
+			assert.Equal(t, resp.StatusCode, status)
+			f := caller.NewForwarder(client.New(), "d1", "secret")
+			x := caller.ServiceRequest{Service: "booking", Method: http.MethodPost, Path: "/turns", Meta: caller.Meta{ID: "r1"}}
+			r, err := f.Call(t.Context(), serve(t, &caller.Handler{Peer: true, Call: reply}), x)
+			assert.NilError(t, err)
+			assert.Equal(t, r.Status, status)
+			earlier := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Papayaspoke-Status", fmt.Sprint(status))
+				w.WriteHeader(status / 100 * 100)
+			}))
+			r, err = f.Call(t.Context(), earlier, x)
+			assert.NilError(t, err)
+			assert.Equal(t, r.Status, status)
+		})
+	}
+}
+
 // TestEndlessTextIsCutOff guards against an engine whose text never ends and fills the
 // memory of the daemon, if the caller wants the answer whole or takes it slowly.
 func TestEndlessTextIsCutOff(t *testing.T) {
--- a/io/protocol/caller/forward.go
+++ b/io/protocol/caller/forward.go
@@ -13,7 +13,6 @@
 	"papayaspoke/core/result"
 	"papayaspoke/io/protocol/wire"
 	"papayaspoke/io/transport/client"
-	"papayaspoke/io/transport/server"
 )
 
 const (
@@ -197,13 +196,17 @@
 	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
 }
 
+// statusHeader carries the status of a service in answers of earlier versions, which
+// replace one that net/http has no name for by the first of its class.
+const statusHeader = "Papayaspoke-Status"
+
 func readReply(a *client.Answer) (*ServiceReply, error) {
 	b, err := a.ReadAll(maxReplyBytes)
 	if err != nil {
 		return nil, result.New(result.Unknown, "read the service's response: %w", err)
 	}
 	status := a.Status()
-	if n, err := strconv.Atoi(a.Header().Get(server.StatusHeader)); err == nil && n/100 == status/100 {
+	if n, err := strconv.Atoi(a.Header().Get(statusHeader)); err == nil && n/100 == status/100 {
 		status = n
 	}
 	up := ident.Upstream(a.Header().Get(UpstreamHeader))
--- a/io/protocol/caller/handler.go
+++ b/io/protocol/caller/handler.go
@@ -227,7 +227,7 @@
 	"Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Expect", "Accept-Encoding",
 	ClassHeader, AdapterHeader, DeadlineHeader, HopHeader, AttemptHeader, RequestHeader, UpstreamHeader,
 	RetriedHeader, SuspectHeader,
-	wire.ResultHeader, server.StatusHeader,
+	wire.ResultHeader, statusHeader,
 }
 
 func endToEndHeaders(h http.Header) http.Header {
--- a/io/transport/server/conn.go
+++ b/io/transport/server/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -40,6 +41,9 @@
 	// unsent is the number of bytes written by handlers and not yet accepted by
 	// the kernel. It is never negative.
 	unsent int
+	// status replaces the one in the head that is written next; 0 if the library
+	// writes the right one.
+	status int
 	// room is closed when the peer has taken enough of what was written, or the
 	// connection is closed; nil if nobody waits for that.
 	room chan struct{}
@@ -360,15 +364,38 @@
 func (r *recorder) Write(b []byte) (int, error) { return r.body.Write(b) }
 func (r *recorder) WriteHeader(status int)      { r.status = status }
 
-// countingConn counts the bytes written by handlers as unsent.
+// setStatus sets the status of the head that is written next.
+func (c *conn) setStatus(status int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.status = status
+}
+
+// countingConn counts the bytes written by handlers as unsent, and writes the statuses
+// that the library doesn't know.
 type countingConn struct {
 	net.Conn
 	conn *conn
 }
 
 func (w countingConn) Write(b []byte) (int, error) {
+	out := b
 	w.conn.mu.Lock()
-	w.conn.unsent += len(b)
+	if w.conn.status != 0 {
+		out = withStatus(b, w.conn.status)
+		w.conn.status = 0
+	}
+	w.conn.unsent += len(out)
 	w.conn.mu.Unlock()
-	return w.Conn.Write(b)
+	if n, err := w.Conn.Write(out); err != nil {
+		return min(n, len(b)), err
+	}
+	return len(b), nil
+}
+
+// withStatus returns a copy of a response with another status and no reason.
+func withStatus(response []byte, status int) []byte {
+	version, rest, _ := bytes.Cut(response, []byte(" "))
+	_, rest, _ = bytes.Cut(rest, []byte("\r\n"))
+	return fmt.Appendf(nil, "%s %d \r\n%s", version, status, rest)
 }
--- a/io/transport/server/doc.go
+++ b/io/transport/server/doc.go
@@ -18,7 +18,8 @@
 //     replaces unknown status codes by 200, and sends large buffered writes from
 //     a buffer that it has already freed. Here handlers get a copy of the body,
 //     and a writer that rejects use after the return and never passes the library
-//     more than it can buffer.
+//     more than it can buffer. Unknown status codes are put into the head when it
+//     is written to the connection.
 //
 // A handler that fails midway through a response must close the connection rather
 // than return normally: a normal return ends the chunked body as if it were
--- a/io/transport/server/server_test.go
+++ b/io/transport/server/server_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -228,18 +229,53 @@
 	return nil
 }
 
-func TestUnknownStatusKeepsItsClass(t *testing.T) {
-	cases := map[string]struct{ give, want int }{
-		"known":          {404, 404},
-		"unknown server": {599, 500},
-		"unknown client": {499, 400},
+// TestStatusIsSentAsItIs checks that peers get the status that the handler set, also
+// one without a name.
+func TestStatusIsSentAsItIs(t *testing.T) {
+	writes := map[string]func(w http.ResponseWriter){
+		"no body":       func(http.ResponseWriter) {},
+		"a body":        func(w http.ResponseWriter) { fmt.Fprint(w, "text") },
+		"a large body":  func(w http.ResponseWriter) { fmt.Fprint(w, strings.Repeat("text", 50_000)) },
+		"flushed":       func(w http.ResponseWriter) { w.(http.Flusher).Flush(); fmt.Fprint(w, "text") },
+		"a second call": func(w http.ResponseWriter) { w.WriteHeader(http.StatusOK) },
 	}
-	for name, tc := range cases {
-		t.Run(name, func(t *testing.T) {
-			s := listen(t, server.Options{}, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(tc.give) })
-			resp, err := http.Get("http://" + s.Addr())
-			assert.NilError(t, err)
-			assert.Equal(t, resp.StatusCode, tc.want)
+	for name, write := range writes {
+		for _, version := range []string{"1.1", "1.0"} {
+			t.Run(name+" "+version, func(t *testing.T) {
+				s := listen(t, server.Options{}, func(w http.ResponseWriter, r *http.Request) {
+					status, _ := strconv.Atoi(r.URL.Path[1:])
+					w.WriteHeader(status)
+					write(w)
+				})
+				c := dial(t, s)
+				in := bufio.NewReader(c)
+				for _, status := range []int{200, 299, 200, 207, 218, 306, 399, 404, 444, 499, 500, 520, 599, 200} {
+					fmt.Fprintf(c, "GET /%d HTTP/%s\r\nHost: x\r\nConnection: keep-alive\r\n\r\n", status, version)
+					resp, err := http.ReadResponse(in, nil)
+					assert.NilError(t, err)
+					assert.Equal(t, resp.StatusCode, status)
+					_, err = io.ReadAll(resp.Body)
+					assert.NilError(t, err)
+				}
+			})
+		}
+	}
+}
+
+// Guards against responses with status 200 of handlers that set a status that is not
+// valid.
+func TestInvalidStatusIsNotSent(t *testing.T) {
+	s := listen(t, server.Options{}, func(w http.ResponseWriter, r *http.Request) {
+		status, _ := strconv.Atoi(r.URL.Path[1:])
+		w.WriteHeader(status)
+		fmt.Fprint(w, "text")
+	})
+	for _, status := range []int{0, 20, 99, 100, 101, 199, 600, 999, 2000} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			c := dial(t, s)
+			fmt.Fprintf(c, "GET /%d HTTP/1.1\r\nHost: x\r\n\r\n", status)
+			_, err := http.ReadResponse(bufio.NewReader(c), nil)
+			assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
 		})
 	}
 }
--- a/io/transport/server/writer.go
+++ b/io/transport/server/writer.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"strconv"
 	"sync"
 
 	"github.com/lesismal/nbio/nbhttp"
@@ -22,9 +21,11 @@
 // maxBacklog is how many bytes of a response may be unsent before [AwaitRoom] waits.
 const maxBacklog = 256 << 10
 
-// StatusHeader carries the exact status if the library can't send it. The response
-// then has the generic status of its class.
-const StatusHeader = "Papayaspoke-Status"
+// Limits of the status of a response; those below are interim.
+const (
+	minStatus = 200
+	maxStatus = 599
+)
 
 // discarder discards the rest of the input of a refused connection.
 type discarder struct{ parser *nbhttp.Parser }
@@ -114,8 +115,7 @@
 
 func (w *writer) Header() http.Header { return w.res.Header() }
 
-// WriteHeader sends the status, or the generic status of its class if net/http has
-// no text for it.
+// WriteHeader sends the status. A response whose status is not valid is aborted.
 func (w *writer) WriteHeader(status int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -123,16 +123,18 @@
 }
 
 func (w *writer) writeHeader(status int) {
-	if w.done || w.started || status < 200 {
+	if w.done || w.started {
+		return
+	}
+	if status < minStatus || status > maxStatus {
+		w.conn.server.opts.Log.Error(result.New(result.Internal, "status %d is not valid", status), "response aborted")
+		w.abortLocked()
 		return
 	}
 	w.started = true
 	if http.StatusText(status) == "" {
-		w.res.Header().Set(StatusHeader, strconv.Itoa(status))
-		status = status / 100 * 100
-		if http.StatusText(status) == "" {
-			status = http.StatusBadGateway
-		}
+		w.conn.setStatus(status)
+		status = http.StatusOK
 	}
 	if w.headOnly && w.res.Header().Get("Content-Length") == "" {
 		w.res.Header().Set("Content-Length", "0")
@@ -189,6 +191,11 @@
 func (w *writer) abort() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.abortLocked()
+}
+
+// abortLocked is abort; w.mu must be held.
+func (w *writer) abortLocked() {
 	if w.done {
 		return
 	}
