client: a reset during the upload is not the end of an answer

Callers saw: a replica answered a long upload at once with a 200 without a length, sent part of the body and reset the connection; the client got the part as a complete answer.

Cause: an answer without a length ends with its connection. Linux reports the failure of a connection to one call only. While a request is still being written, a write often gets ECONNRESET, and the read after it returns 0 bytes, which is the regular end of the body. The same holds for ETIMEDOUT and EHOSTUNREACH.

--- a/io/gateway/broken_test.go
+++ b/io/gateway/broken_test.go
@@ -1,14 +1,17 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"papayaspoke/core/coordination/balance"
 	"papayaspoke/core/routes"
 )
 
@@ -70,3 +73,67 @@
 		})
 	}
 }
+
+// newEarlyReplica returns a replica that answers before it has read the body of a
+// request, and then resets the connection.
+func newEarlyReplica(t *testing.T, head, body string) *testReplica {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	serve := func(c *net.TCPConn) {
+		defer func() { _ = c.Close() }()
+		_ = c.SetReadBuffer(4 << 10)
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\n%s", idHeader, r.Header.Get(idHeader), head, body)
+		time.Sleep(10 * time.Millisecond)
+		_ = c.SetLinger(0)
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c.(*net.TCPConn))
+		}
+	}()
+	return &testReplica{name: "x", addr: l.Addr().String(), listener: l}
+}
+
+// Guards against parts of an answer that clients get as a complete one, since the
+// replica reset its connection while the request was being written.
+func TestResetDuringUploadReachesNoClient(t *testing.T) {
+	// More than the kernel buffers for a replica that doesn't read.
+	upload := strings.Repeat("x", 4<<20)
+	cases := map[string]struct{ head, body string }{
+		"a body":   {"", "part"},
+		"no body":  {"", ""},
+		"a stream": {"Content-Type: text/event-stream\r\n", eventText(1)},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			x := newEarlyReplica(t, tc.head, tc.body)
+			g := newTestGatewayWithLimits(t, routes.Route{Timeout: 2 * time.Second, MaxAttempts: 1}, unlimitedRetries, nil, x)
+			for _, path := range brokenAnswerPaths {
+				for range 5 {
+					// The replica is ejected after its first failure.
+					g.SetReplicas(nil, 1)
+					g.SetReplicas([]balance.Replica{{Name: x.name, Incarnation: 1, Service: "s", Address: x.addr, DataCentre: "here", Slots: 4}}, 1)
+					req, err := http.NewRequest(http.MethodPost, "http://"+g.front.Addr()+path, strings.NewReader(upload))
+					assert.NilError(t, err)
+					req.Header.Set(idHeader, "r1")
+					resp, err := http.DefaultTransport.RoundTrip(req)
+					assert.NilError(t, err)
+					body, err := io.ReadAll(resp.Body)
+					_ = resp.Body.Close()
+					assert.Check(t, err != nil || resp.StatusCode == http.StatusBadGateway, "%s: status %d, %q", path, resp.StatusCode, body)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/io/protocol/upstream/broken_test.go
@@ -0,0 +1,82 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"papayaspoke/core/result"
+	"papayaspoke/io/protocol/upstream"
+	"papayaspoke/io/transport/client"
+)
+
+// brokenService answers each call with answer before it has read the body, and then
+// resets the connection.
+func brokenService(t *testing.T, answer string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	serve := func(c *net.TCPConn) {
+		defer func() { _ = c.Close() }()
+		_ = c.SetReadBuffer(4 << 10)
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answer)
+		time.Sleep(10 * time.Millisecond)
+		_ = c.SetLinger(0)
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c.(*net.TCPConn))
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Guards against answers of services that are not valid or were cut and that callers
+// get as complete ones.
+func TestBrokenAnswerOfServiceIsNone(t *testing.T) {
+	// More than the kernel buffers for a service that doesn't read.
+	upload := make([]byte, 8<<20)
+	const rest = "Content-Length: 4\r\n\r\nmade"
+	cases := map[string]struct {
+		answer string
+		body   []byte
+	}{
+		"status 000":          {"HTTP/1.1 000 X\r\n" + rest, nil},
+		"status 600":          {"HTTP/1.1 600 X\r\n" + rest, nil},
+		"other protocol":      {"HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n", nil},
+		"reset in the upload": {"HTTP/1.1 200 OK\r\n\r\npart", upload},
+	}
+	for name, tc := range cases {
+		for _, idempotent := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, idempotent %t", name, idempotent), func(t *testing.T) {
+				t.Parallel()
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				a, err := upstream.NewClient(client.New()).Call(ctx, brokenService(t, tc.answer), upstream.ServiceCall{
+					Method: http.MethodPost, Path: "/turns", Body: tc.body, Idempotent: idempotent,
+				})
+				assert.Assert(t, err != nil, "%+v", a)
+				want := result.Unknown
+				if idempotent {
+					want = result.UpstreamFailed
+				}
+				assert.Equal(t, result.CodeOf(err), want, "%v", err)
+			})
+		}
+	}
+}
