client: a response with an invalid field is no answer

Callers saw: a replica sent a field whose name held a blank or a control byte, and the client got the answer with that line, or with a body that was not the replica's: after "Content-Length : 4" all bytes up to the end of the connection, after "Transfer-Encoding : chunked" the chunks' lengths as well.

Cause: net/http accepts blanks in names of fields and passes the line on under a name that no one looks up, so the length or the encoding is not applied. A line that begins with a blank or a tab continues the line before it, which hides the field: "X-A: b", then " Content-Length: 4".

Fix: the check of recorded heads covers each field line, in interim heads too: a token, a colon, and text without control bytes. A continued line is refused; RFC 9112, section 5.2, leaves a gateway this or replacing it by blanks, and no sender may write one.

Other control bytes in names and all of those in values were refused by net/http before; their cases stay.

--- a/io/gateway/broken_test.go
+++ b/io/gateway/broken_test.go
@@ -137,3 +137,29 @@
 		})
 	}
 }
+
+// Guards against answers with a field that is not valid, which clients get with that
+// field, or with another body than the replica's.
+func TestInvalidFieldReachesNoClient(t *testing.T) {
+	const length = "Content-Length: 4\r\n"
+	answers := map[string]string{
+		"blank in a name":       "{id}X A: b\r\n" + length + "\r\nmade",
+		"blank before a colon":  "{id}X-A : b\r\n" + length + "\r\nmade",
+		"blank after a length":  "{id}Content-Length : 4\r\n\r\nmade, and bytes of no answer",
+		"blank after chunked":   "{id}Transfer-Encoding : chunked\r\n\r\n4\r\nmade\r\n0\r\n\r\n",
+		"blank before a length": "{id} Content-Length: 4\r\n\r\nmade, and bytes of no answer",
+		"tab before a name":     "{id}X-A: b\r\n\tX-B: c\r\n" + length + "\r\nmade",
+		"tab in a name":         "{id}X\tA: b\r\n" + length + "\r\nmade",
+		"NUL in a name":         "{id}X\x00A: b\r\n" + length + "\r\nmade",
+		"CR in a name":          "{id}X\rA: b\r\n" + length + "\r\nmade",
+		"escape before a colon": "{id}X-A\x1b: b\r\n" + length + "\r\nmade",
+		"blank in a stream":     "{id}Content-Type: text/event-stream\r\nX A: b\r\n\r\n" + eventText(1),
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			reachesNoClient(t, "HTTP/1.1 200 OK\r\n"+answer)
+			reachesNoClient(t, "HTTP/1.1 500 X\r\n"+answer)
+		})
+	}
+}
--- a/io/protocol/operator/client_test.go
+++ b/io/protocol/operator/client_test.go
@@ -42,6 +42,7 @@
 		"status 000":     "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}",
 		"status 600":     "HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\n{}",
 		"other protocol": "HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n{}",
+		"name of field":  "HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 2\r\n\r\n{}",
 		"version":        "HTTP/2.0 200 X\r\nContent-Length: 2\r\n\r\n{}",
 	}
 	for name, answer := range cases {
--- a/io/protocol/upstream/broken_test.go
+++ b/io/protocol/upstream/broken_test.go
@@ -59,6 +59,10 @@
 		"status 000":          {"HTTP/1.1 000 X\r\n" + rest, nil},
 		"status 600":          {"HTTP/1.1 600 X\r\n" + rest, nil},
 		"other protocol":      {"HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n", nil},
+		"blank in a name":     {"HTTP/1.1 200 OK\r\nX A: b\r\n" + rest, nil},
+		"blank after length":  {"HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nmade, and more", nil},
+		"tab before a name":   {"HTTP/1.1 200 OK\r\nX-A: b\r\n\tX-B: c\r\n" + rest, nil},
+		"NUL in a name":       {"HTTP/1.1 200 OK\r\nX\x00A: b\r\n" + rest, nil},
 		"reset in the upload": {"HTTP/1.1 200 OK\r\n\r\npart", upload},
 	}
 	for name, tc := range cases {
--- a/io/transport/client/answer_test.go
+++ b/io/transport/client/answer_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -52,6 +54,38 @@
 		"version of interim answer": "HTTP/2.0 103 X\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
 		"control byte in interim":   "HTTP/1.1 103 \x01\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
 	}
+	fields := map[string]string{
+		"blank in a name":             "X A: b",
+		"blank before the colon":      "X-A : b",
+		"tab before the colon":        "X-A\t: b",
+		"blank before the length":     "Content-Length : 4",
+		"blank before the encoding":   "Transfer-Encoding : chunked",
+		"blank before a name":         "X-A: b\r\n X-B: c",
+		"tab before a name":           "X-A: b\r\n\tContent-Length: 4",
+		"blank before the first name": " X-A: b",
+		"only a blank":                "X-A: b\r\n \r\nX-B: c",
+		"empty name":                  ": b",
+		"no colon":                    "X-A",
+		"quote in a name":             "X\"A: b",
+		"slash in a name":             "X/A: b",
+		"name is not ASCII":           "X-\xc3\xa9: b",
+		"CR in a name":                "X\rA: b",
+		"CR in a value":               "X-A: b\rX-B: c",
+		"NUL in a value":              "X-A: b\x00",
+		"DEL in a value":              "X-A: \x7f",
+	}
+	for _, c := range []byte("\x00\x01\x08\t\v\f\x1b\x1f\x7f\x80\xa0") {
+		fields[fmt.Sprintf("byte %#02x in a name", c)] = "X" + string([]byte{c}) + "A: b"
+		fields[fmt.Sprintf("byte %#02x before a name", c)] = "X-A: b\r\n" + string([]byte{c}) + "X-B: c"
+		fields[fmt.Sprintf("byte %#02x after a name", c)] = "X-A" + string([]byte{c}) + ": b"
+	}
+	for name, field := range fields {
+		cases[name] = "HTTP/1.1 200 OK\r\n" + field + "\r\n" + rest
+		cases[name+", last"] = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n" + field + "\r\n\r\nmade"
+		cases[name+", newlines"] = strings.ReplaceAll(cases[name], "\r\n", "\n")
+		cases[name+", interim"] = "HTTP/1.1 103 X\r\n" + field + "\r\n\r\nHTTP/1.1 200 OK\r\n" + rest
+		cases[name+", no length"] = "HTTP/1.1 200 OK\r\n" + field + "\r\n\r\nmade"
+	}
 	for name, answer := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -69,18 +103,23 @@
 		answer string
 		status int
 	}{
-		"without a name":     {"HTTP/1.1 299 \r\n" + rest, 299},
-		"largest status":     {"HTTP/1.1 599 X\r\n" + rest, 599},
-		"no reason":          {"HTTP/1.1 200\r\n" + rest, 200},
-		"reason with a tab":  {"HTTP/1.1 200 all\tis well\r\n" + rest, 200},
-		"reason, not ASCII":  {"HTTP/1.1 200 d\xe9j\xc3\xa0 vu\r\n" + rest, 200},
-		"older version":      {"HTTP/1.0 200 OK\r\n" + rest, 200},
-		"newer version":      {"HTTP/1.2 200 OK\r\n" + rest, 200},
-		"newlines only":      {"HTTP/1.1 200 OK\nContent-Length: 4\n\nmade", 200},
-		"interim":            {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + rest, 200},
-		"interim, unknown":   {"HTTP/1.1 199 X\r\nX-Progress: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + rest, 200},
-		"many interim":       {"HTTP/1.1 102 X\r\n\r\nHTTP/1.1 103 X\r\n\r\nHTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 OK\r\n" + rest, 200},
-		"ends with its conn": {"HTTP/1.1 200 OK\r\n\r\nmade", 200},
+		"without a name":    {"HTTP/1.1 299 \r\n" + rest, 299},
+		"largest status":    {"HTTP/1.1 599 X\r\n" + rest, 599},
+		"no reason":         {"HTTP/1.1 200\r\n" + rest, 200},
+		"reason with a tab": {"HTTP/1.1 200 all\tis well\r\n" + rest, 200},
+		"reason, not ASCII": {"HTTP/1.1 200 d\xe9j\xc3\xa0 vu\r\n" + rest, 200},
+		"older version":     {"HTTP/1.0 200 OK\r\n" + rest, 200},
+		"newer version":     {"HTTP/1.2 200 OK\r\n" + rest, 200},
+		"newlines only":     {"HTTP/1.1 200 OK\nContent-Length: 4\n\nmade", 200},
+		"interim":           {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + rest, 200},
+		"interim, unknown":  {"HTTP/1.1 199 X\r\nX-Progress: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + rest, 200},
+		"many interim":      {"HTTP/1.1 102 X\r\n\r\nHTTP/1.1 103 X\r\n\r\nHTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 OK\r\n" + rest, 200},
+		"all of a token":    {"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: b\r\n" + rest, 200},
+		"empty value":       {"HTTP/1.1 200 OK\r\nX-A:\r\nX-B: \t\r\n" + rest, 200},
+		"no space":          {"HTTP/1.1 200 OK\r\nX-A:b:c\r\n" + rest, 200},
+		"value with a tab":  {"HTTP/1.1 200 OK\r\nX-A: b\tc\r\n" + rest, 200},
+		"value, not ASCII":  {"HTTP/1.1 200 OK\r\nX-A: \xe9\xc3\xa9\r\n" + rest, 200},
+		"no fields":         {"HTTP/1.1 200 OK\r\n\r\nmade", 200},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/io/transport/client/head.go
+++ b/io/transport/client/head.go
@@ -29,7 +29,7 @@
 		if err != nil {
 			return err
 		}
-		if b, err = skipFields(rest); err != nil {
+		if b, err = checkFields(rest); err != nil {
 			return err
 		}
 		if status >= minStatus {
@@ -65,17 +65,36 @@
 	return status, nil
 }
 
-// skipFields returns what follows the empty line after the fields.
-func skipFields(b []byte) ([]byte, error) {
+// checkFields returns what follows the empty line after the fields. A line that begins
+// with a blank is invalid: as the obsolete continuation of the line before it, it would
+// hide a field whose name begins with one.
+func checkFields(b []byte) ([]byte, error) {
 	for {
 		line, rest, err := cutLine(b)
 		if err != nil || len(line) == 0 {
 			return rest, err
 		}
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok || !isToken(name) || !isText(value) {
+			return nil, fmt.Errorf("field %.100q is invalid", line)
+		}
 		b = rest
 	}
 }
 
+// isToken reports whether b is a token as in RFC 9110, section 5.6.2.
+func isToken(b []byte) bool {
+	for _, c := range b {
+		switch {
+		case '0' <= c && c <= '9', 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z':
+		case bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), c) >= 0:
+		default:
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
 func isNumber(b []byte) bool {
 	return !bytes.ContainsFunc(b, func(r rune) bool { return r < '0' || r > '9' })
 }
