client: a response with ambiguous framing is no answer

Cause: net/http drops a Transfer-Encoding in HTTP/1.0 unread, and a Content-Length beside one, and takes neither into account where no body may follow. RFC 9112, sections 6.1 to 6.3, calls such framing faulty or asks to treat it as an error.

Invalid lengths, other encodings and all 14 faults of chunks were refused by net/http before; their cases stay.

--- a/io/gateway/broken_test.go
+++ b/io/gateway/broken_test.go
@@ -163,3 +163,22 @@
 		})
 	}
 }
+
+// Guards against answers with ambiguous framing, whose body clients get as net/http
+// understands it.
+func TestInvalidFramingReachesNoClient(t *testing.T) {
+	const chunks = "\r\n4\r\nmade\r\n0\r\n\r\n"
+	answers := map[string]string{
+		"length and chunks":  "HTTP/1.1 200 OK\r\n{id}Content-Length: 4\r\nTransfer-Encoding: chunked\r\n" + chunks,
+		"chunks in HTTP/1.0": "HTTP/1.0 200 OK\r\n{id}Transfer-Encoding: chunked\r\n" + chunks,
+		"body of 204":        "HTTP/1.1 204 X\r\n{id}Content-Length: 4\r\n\r\nmade",
+		"body of interim":    "HTTP/1.1 103 X\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/1.1 200 OK\r\n{id}Content-Length: 4\r\n\r\nmade",
+		"chunk too long":     "HTTP/1.1 200 OK\r\n{id}Transfer-Encoding: chunked\r\n\r\n3\r\nmade\r\n0\r\n\r\n",
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			reachesNoClient(t, answer)
+		})
+	}
+}
--- a/io/transport/client/answer_test.go
+++ b/io/transport/client/answer_test.go
@@ -95,6 +95,65 @@
 	}
 }
 
+// Guards against responses whose framing is ambiguous or wrong, so that their body may not
+// be the server's.
+func TestInvalidFraming(t *testing.T) {
+	const chunks = "\r\n4\r\nmade\r\n0\r\n\r\n"
+	const final = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmade"
+	cases := map[string]string{
+		"length and chunks":          "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n" + chunks,
+		"chunks and length":          "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-length: 4\r\n" + chunks,
+		"chunks and length 0":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 0\r\n" + chunks,
+		"chunks in HTTP/1.0":         "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks,
+		"chunks, length in HTTP/1.0": "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 14\r\n" + chunks,
+		"encoding unknown, HTTP/1.0": "HTTP/1.0 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nmade",
+		"chunks in 204":              "HTTP/1.1 204 X\r\nTransfer-Encoding: chunked\r\n" + chunks,
+		"length of 204":              "HTTP/1.1 204 X\r\nContent-Length: 4\r\n\r\nmade",
+		"length of interim":          "HTTP/1.1 103 X\r\nContent-Length: 4\r\n\r\n" + final,
+		"chunks in interim":          "HTTP/1.1 103 X\r\nTransfer-Encoding: chunked\r\n\r\n" + final,
+		"body of interim":            "HTTP/1.1 103 X\r\nContent-Length: 4\r\n\r\nmade" + final,
+		"encoding unknown":           "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nmade",
+		"encoding identity":          "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nmade",
+		"encoding empty":             "HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n\r\nmade",
+		"two encodings":              "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n" + chunks,
+		"chunked twice":              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" + chunks,
+		"two lengths":                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nmade",
+		"list of lengths":            "HTTP/1.1 200 OK\r\nContent-Length: 4, 5\r\n\r\nmade",
+		"length with a sign":         "HTTP/1.1 200 OK\r\nContent-Length: +4\r\n\r\nmade",
+		"length below zero":          "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nmade",
+		"length in hexadecimal":      "HTTP/1.1 200 OK\r\nContent-Length: 0x4\r\n\r\nmade",
+		"length with a blank":        "HTTP/1.1 200 OK\r\nContent-Length: 4 4\r\n\r\nmade",
+		"length empty":               "HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\nmade",
+		"length too large":           "HTTP/1.1 200 OK\r\nContent-Length: 18446744073709551620\r\n\r\nmade",
+	}
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, body := range map[string]string{
+		"size with a sign":         "+4\r\nmade\r\n0\r\n\r\n",
+		"size in hexadecimal":      "0x4\r\nmade\r\n0\r\n\r\n",
+		"size after a blank":       " 4\r\nmade\r\n0\r\n\r\n",
+		"size empty":               "\r\nmade\r\n0\r\n\r\n",
+		"size too large":           "10000000000000004\r\nmade\r\n0\r\n\r\n",
+		"newline after the size":   "4\nmade\r\n0\r\n\r\n",
+		"CR in an extension":       "4;x\ry\r\nmade\r\n0\r\n\r\n",
+		"chunk without its end":    "4\r\nmade0\r\n\r\n",
+		"newline after a chunk":    "4\r\nmade\n0\r\n\r\n",
+		"longer than its size":     "3\r\nmade\r\n0\r\n\r\n",
+		"shorter than its size":    "5\r\nmade\r\n0\r\n\r\n",
+		"no last chunk":            "4\r\nmade\r\n",
+		"no end of the last chunk": "4\r\nmade\r\n0\r\n",
+		"newlines at the end":      "4\r\nmade\r\n0\n\n",
+	} {
+		cases[name] = chunked + body
+	}
+	for name, answer := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			status, body, err := fetch(t, answer)
+			assert.Check(t, err != nil, "status %d, body %q", status, body)
+		})
+	}
+}
+
 // TestUnusualResponses checks that responses that HTTP/1.1 allows are read, however
 // unusual they are.
 func TestUnusualResponses(t *testing.T) {
