client: an invalid field after the last chunk makes an answer incomplete

Cause: net/http reads these fields as leniently as those of a head, and no one looked at them, since they are not passed on.

Fix: a chunked body ends with an error if one of their names is not a token. A stream is cut, any other answer replaced by an error.

Control bytes, empty names and missing colons were refused by net/http before; their cases stay. A continued line there is still read as one field: nothing of it is used or passed on.

--- a/io/gateway/broken_test.go
+++ b/io/gateway/broken_test.go
@@ -182,3 +182,20 @@
 		})
 	}
 }
+
+// Guards against answers that clients get as complete although a field after their last
+// chunk is invalid.
+func TestInvalidTrailerReachesNoClient(t *testing.T) {
+	const end = "\r\n0\r\nX A: b\r\n\r\n"
+	reachesNoClient(t, "HTTP/1.1 200 OK\r\n{id}Transfer-Encoding: chunked\r\n\r\n4\r\nmade"+end)
+	x := newTestReplica(t, "x", func(w io.Writer, r *http.Request, _ int) bool {
+		writeStreamHead(w, r)
+		fmt.Fprintf(w, "%x\r\n%s%s", len(eventText(1)), eventText(1), end)
+		return false
+	})
+	g := newTestGatewayWithLimits(t, routes.Route{Timeout: 2 * time.Second, MaxAttempts: 1}, unlimitedRetries, nil, x)
+	for _, path := range []string{"/stream/x", "/resume/x"} {
+		_, body, cut := g.send(t, http.MethodPost, path)
+		assert.Check(t, cut, "%s: the stream ended as if it were complete: %q", path, body)
+	}
+}
--- a/io/transport/client/answer_test.go
+++ b/io/transport/client/answer_test.go
@@ -154,6 +154,32 @@
 	}
 }
 
+// Guards against chunked responses that are taken for complete although a field after
+// the last chunk is invalid.
+func TestInvalidTrailers(t *testing.T) {
+	cases := map[string]string{
+		"blank in a name":      "X A: b",
+		"blank before a colon": "X-A : b",
+		"only one of them":     "X-A: b\r\nX B: c\r\nX-C: d",
+		"blank before a name":  " X-A: b",
+		"tab in a name":        "X\tA: b",
+		"NUL in a name":        "X\x00A: b",
+		"empty name":           ": b",
+		"no colon":             "X-A",
+		"NUL in a value":       "X-A: \x00",
+		"CR in a value":        "X-A: b\rc",
+	}
+	for name, field := range cases {
+		for _, announced := range []string{"", "Trailer: X-A\r\n"} {
+			t.Run(name+" "+announced, func(t *testing.T) {
+				t.Parallel()
+				_, body, err := fetch(t, "HTTP/1.1 200 OK\r\n"+announced+"Transfer-Encoding: chunked\r\n\r\n4\r\nmade\r\n0\r\n"+field+"\r\n\r\n")
+				assert.Check(t, err != nil, "body %q", body)
+			})
+		}
+	}
+}
+
 // TestUnusualResponses checks that responses that HTTP/1.1 allows are read, however
 // unusual they are.
 func TestUnusualResponses(t *testing.T) {
--- a/io/transport/client/transport.go
+++ b/io/transport/client/transport.go
@@ -1,6 +1,8 @@
 package client
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -33,5 +35,30 @@
 		_ = resp.Body.Close()
 		return nil, err
 	}
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = chunkedBody{ReadCloser: resp.Body, resp: resp}
+	}
 	return resp, nil
 }
+
+// chunkedBody is a chunked body that ends with an error if a field after its last chunk
+// is invalid.
+type chunkedBody struct {
+	io.ReadCloser
+	// resp has the fields once the body has been read.
+	resp *http.Response
+}
+
+// Read reads from the body.
+func (b chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	for name := range b.resp.Trailer {
+		if !isToken([]byte(name)) {
+			return n, fmt.Errorf("field %.100q after the last chunk is invalid", name)
+		}
+	}
+	return n, io.EOF
+}
