--- a/io/gateway/broken_test.go
+++ b/io/gateway/broken_test.go
@@ -1,10 +1,8 @@
 package gateway
 
 import (
-	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -13,6 +11,7 @@
 	"gotest.tools/v3/assert"
 	"papayaspoke/core/coordination/balance"
 	"papayaspoke/core/routes"
+	"papayaspoke/io/standin/broken"
 )
 
 // brokenAnswerPaths has a path on each kind of route.
@@ -74,36 +73,6 @@
 	}
 }
 
-// newEarlyReplica returns a replica that answers before it has read the body of a
-// request, and then resets the connection.
-func newEarlyReplica(t *testing.T, head, body string) *testReplica {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	serve := func(c *net.TCPConn) {
-		defer func() { _ = c.Close() }()
-		_ = c.SetReadBuffer(4 << 10)
-		r, err := http.ReadRequest(bufio.NewReader(c))
-		if err != nil {
-			return
-		}
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\n%s", idHeader, r.Header.Get(idHeader), head, body)
-		time.Sleep(10 * time.Millisecond)
-		_ = c.SetLinger(0)
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c.(*net.TCPConn))
-		}
-	}()
-	return &testReplica{name: "x", addr: l.Addr().String(), listener: l}
-}
-
 // Guards against parts of an answer that clients get as a complete one, since the
 // replica reset its connection while the request was being written.
 func TestResetDuringUploadReachesNoClient(t *testing.T) {
@@ -117,7 +86,12 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			x := newEarlyReplica(t, tc.head, tc.body)
+			u, err := broken.Start(func(r *http.Request) string {
+				return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\n%s", idHeader, r.Header.Get(idHeader), tc.head, tc.body)
+			}, broken.Reset)
+			assert.NilError(t, err)
+			t.Cleanup(u.Close)
+			x := &testReplica{name: "x", addr: u.Addr()}
 			g := newTestGatewayWithLimits(t, routes.Route{Timeout: 2 * time.Second, MaxAttempts: 1}, unlimitedRetries, nil, x)
 			for _, path := range brokenAnswerPaths {
 				for range 5 {
--- a/io/protocol/operator/client_test.go
+++ b/io/protocol/operator/client_test.go
@@ -1,8 +1,6 @@
 package operator_test
 
 import (
-	"bufio"
-	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -11,30 +9,9 @@
 
 	"papayaspoke/core/result"
 	"papayaspoke/io/protocol/operator"
+	"papayaspoke/io/standin/broken"
 )
 
-// startServer returns the address of a server that sends answer to each request and
-// closes the connection.
-func startServer(t *testing.T, answer string) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.WriteString(c, answer)
-			}
-			_ = c.Close()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // Guards against operators who see a change as accepted, or a state as read, because
 // of a response that is not valid HTTP/1.1.
 func TestInvalidResponses(t *testing.T) {
@@ -47,8 +24,11 @@
 	}
 	for name, answer := range cases {
 		t.Run(name, func(t *testing.T) {
-			c := operator.NewClient([]string{startServer(t, answer)}, "secret")
-			_, err := c.Change(t.Context(), operator.Change{})
+			u, err := broken.Start(func(*http.Request) string { return answer }, func(*net.TCPConn) {})
+			assert.NilError(t, err)
+			defer u.Close()
+			c := operator.NewClient([]string{u.Addr()}, "secret")
+			_, err = c.Change(t.Context(), operator.Change{})
 			assert.Check(t, result.CodeOf(err) == result.Unreachable, "%v", err)
 			_, err = c.Get(t.Context(), "/v1/state")
 			assert.Check(t, result.CodeOf(err) == result.Unreachable, "%v", err)
--- a/io/protocol/upstream/broken_test.go
+++ b/io/protocol/upstream/broken_test.go
@@ -1,11 +1,8 @@
 package upstream_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -14,38 +11,10 @@
 
 	"papayaspoke/core/result"
 	"papayaspoke/io/protocol/upstream"
+	"papayaspoke/io/standin/broken"
 	"papayaspoke/io/transport/client"
 )
 
-// brokenService answers each call with answer before it has read the body, and then
-// resets the connection.
-func brokenService(t *testing.T, answer string) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	serve := func(c *net.TCPConn) {
-		defer func() { _ = c.Close() }()
-		_ = c.SetReadBuffer(4 << 10)
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-			return
-		}
-		_, _ = io.WriteString(c, answer)
-		time.Sleep(10 * time.Millisecond)
-		_ = c.SetLinger(0)
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c.(*net.TCPConn))
-		}
-	}()
-	return l.Addr().String()
-}
-
 // Guards against answers of services that are not valid or were cut and that callers
 // get as complete ones.
 func TestBrokenAnswerOfServiceIsNone(t *testing.T) {
@@ -69,9 +38,12 @@
 		for _, idempotent := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, idempotent %t", name, idempotent), func(t *testing.T) {
 				t.Parallel()
+				u, err := broken.Start(func(*http.Request) string { return tc.answer }, broken.Reset)
+				assert.NilError(t, err)
+				defer u.Close()
 				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 				defer cancel()
-				a, err := upstream.NewClient(client.New()).Call(ctx, brokenService(t, tc.answer), upstream.ServiceCall{
+				a, err := upstream.NewClient(client.New()).Call(ctx, u.Addr(), upstream.ServiceCall{
 					Method: http.MethodPost, Path: "/turns", Body: tc.body, Idempotent: idempotent,
 				})
 				assert.Assert(t, err != nil, "%+v", a)
--- a/io/transport/client/head.go
+++ b/io/transport/client/head.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // Limits of the status of a final response. RFC 9110, section 15, calls statuses
@@ -66,21 +67,22 @@
 // parseStatusLine parses a status line. The space before a missing reason may be
 // missing too.
 func parseStatusLine(line []byte) (statusLine, error) {
-	invalid := fmt.Errorf("status line %.100q is invalid", line)
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	code, reason, _ := bytes.Cut(rest, []byte(" "))
 	minor, ok := bytes.CutPrefix(version, []byte("HTTP/1."))
 	if !ok || len(minor) != 1 || !isNumber(minor) || len(code) != 3 || !isNumber(code) || !isText(reason) {
-		return statusLine{}, invalid
+		return statusLine{}, invalidStatusLine(line)
 	}
 	s := statusLine{minor: int(minor[0] - '0'), code: int(code[0]-'0')*100 + int(code[1]-'0')*10 + int(code[2]-'0')}
 	// Requests never ask for another protocol.
 	if s.code < http.StatusContinue || s.code > maxStatus || s.code == http.StatusSwitchingProtocols {
-		return statusLine{}, invalid
+		return statusLine{}, invalidStatusLine(line)
 	}
 	return s, nil
 }
 
+func invalidStatusLine(line []byte) error { return fmt.Errorf("status line %.100q is invalid", line) }
+
 // framing is what the fields of a head say of the length of the body. net/http checks
 // the values of the fields.
 type framing struct {
@@ -137,7 +139,7 @@
 	for _, c := range b {
 		switch {
 		case '0' <= c && c <= '9', 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z':
-		case bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), c) >= 0:
+		case strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0:
 		default:
 			return false
 		}
--- a/io/transport/client/reset_test.go
+++ b/io/transport/client/reset_test.go
@@ -1,7 +1,6 @@
 package client
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -14,6 +13,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"papayaspoke/io/standin/broken"
 )
 
 // uploadBytes is more than the kernel buffers for a server that doesn't read.
@@ -23,33 +24,12 @@
 // ends the connection with end.
 func earlyServer(t *testing.T, answer string, end func(c *net.TCPConn)) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	u, err := broken.Start(func(*http.Request) string { return answer }, end)
 	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				tcp := c.(*net.TCPConn)
-				_ = tcp.SetReadBuffer(4 << 10)
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, answer)
-				time.Sleep(10 * time.Millisecond)
-				end(tcp)
-			}()
-		}
-	}()
-	return "http://" + l.Addr().String()
+	t.Cleanup(u.Close)
+	return "http://" + u.Addr()
 }
 
-func reset(c *net.TCPConn) { _ = c.SetLinger(0) }
-
 // Guards against responses without a length that are taken for complete although their
 // connection was reset while the request was being written: the kernel tells only one
 // of writer and reader.
@@ -68,7 +48,7 @@
 		for _, idempotent := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, idempotent %t", name, idempotent), func(t *testing.T) {
 				t.Parallel()
-				url := earlyServer(t, head+"part", reset)
+				url := earlyServer(t, head+"part", broken.Reset)
 				c := New()
 				defer c.Close()
 				whole := 0
@@ -106,7 +86,7 @@
 		"resets it later": func(c *net.TCPConn) {
 			closeWrite(c)
 			time.Sleep(200 * time.Millisecond)
-			reset(c)
+			broken.Reset(c)
 		},
 	}
 	for name, end := range ends {
--- a/io/transport/server/writer.go
+++ b/io/transport/server/writer.go
@@ -21,12 +21,6 @@
 // maxBacklog is how many bytes of a response may be unsent before [AwaitRoom] waits.
 const maxBacklog = 256 << 10
 
-// Limits of the status of a response; those below are interim.
-const (
-	minStatus = 200
-	maxStatus = 599
-)
-
 // discarder discards the rest of the input of a refused connection.
 type discarder struct{ parser *nbhttp.Parser }
 
@@ -126,7 +120,7 @@
 	if w.done || w.started {
 		return
 	}
-	if status < minStatus || status > maxStatus {
+	if class := status / 100; class < 2 || class > 5 {
 		w.conn.server.opts.Log.Error(result.New(result.Internal, "status %d is not valid", status), "response aborted")
 		w.abortLocked()
 		return
