--- a/io/transport/client/client.go
+++ b/io/transport/client/client.go
@@ -265,11 +265,11 @@
 // Send sends a request without a retry, over a pooled connection if it is idempotent
 // and over a new one otherwise. The error is a [*Failure].
 func (c *Client) Send(ctx context.Context, x Exchange) (*Answer, error) {
-	transport := c.fresh
+	over := c.fresh
 	if x.Idempotent {
-		transport = c.pooled
+		over = c.pooled
 	}
-	a, f := c.try(ctx, transport, x, x.HeadDeadline)
+	a, f := c.try(ctx, over, x, x.HeadDeadline)
 	return a, f.orNil()
 }
 
@@ -285,7 +285,7 @@
 // try sends x once. The connection is closed if the head of the response doesn't
 // arrive in time: by headBy on a reused connection, and by the deadline that x sets
 // for new connections otherwise.
-func (c *Client) try(ctx context.Context, transport transport, x Exchange, headBy time.Time) (*Answer, *Failure) {
+func (c *Client) try(ctx context.Context, over transport, x Exchange, headBy time.Time) (*Answer, *Failure) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	var gotConn, reused atomic.Bool
 	var conn atomic.Pointer[net.Conn]
@@ -313,7 +313,7 @@
 	}
 	setBody(req, x)
 	setTarget(req, x)
-	resp, err := transport.roundTrip(req, onConn)
+	resp, err := over.roundTrip(req, onConn)
 	watch.stop()
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
--- a/io/transport/client/conn.go
+++ b/io/transport/client/conn.go
@@ -26,8 +26,11 @@
 	writeErr error
 }
 
+// dialFunc establishes a connection.
+type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // wrapConns returns a dial function whose connections are of type [conn].
-func wrapConns(dial func(ctx context.Context, network, addr string) (net.Conn, error)) func(ctx context.Context, network, addr string) (net.Conn, error) {
+func wrapConns(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		inner, err := dial(ctx, network, addr)
 		if err != nil {
@@ -89,7 +92,7 @@
 	return fmt.Errorf("connection failed during a write: %w", c.writeErr)
 }
 
-// readBufferBytes is how much net/http reads ahead.
+// readBufferBytes is how much net/http may read beyond a head.
 const readBufferBytes = 4 << 10
 
 // headRecord holds the bytes of an answer from its beginning, until it is taken.
