--- a/io/gateway/broken_test.go
+++ b/io/gateway/broken_test.go
@@ -147,6 +147,7 @@
 		"chunks in HTTP/1.0": "HTTP/1.0 200 OK\r\n{id}Transfer-Encoding: chunked\r\n" + chunks,
 		"body of 204":        "HTTP/1.1 204 X\r\n{id}Content-Length: 4\r\n\r\nmade",
 		"body of interim":    "HTTP/1.1 103 X\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/1.1 200 OK\r\n{id}Content-Length: 4\r\n\r\nmade",
+		"events in HTTP/1.0": "HTTP/1.0 200 OK\r\n{id}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\ne\r\n" + eventText(1) + "\r\n0\r\n\r\n",
 		"chunk too long":     "HTTP/1.1 200 OK\r\n{id}Transfer-Encoding: chunked\r\n\r\n3\r\nmade\r\n0\r\n\r\n",
 	}
 	for name, answer := range answers {
@@ -157,8 +158,7 @@
 	}
 }
 
-// Guards against answers that clients get as complete although a field after their last
-// chunk is invalid.
+// Guards against answers that clients get as complete although a trailer field is invalid.
 func TestInvalidTrailerReachesNoClient(t *testing.T) {
 	const end = "\r\n0\r\nX A: b\r\n\r\n"
 	reachesNoClient(t, "HTTP/1.1 200 OK\r\n{id}Transfer-Encoding: chunked\r\n\r\n4\r\nmade"+end)
--- a/io/gateway/faulty_test.go
+++ b/io/gateway/faulty_test.go
@@ -78,7 +78,11 @@
 		"200, an event without id":  whole(200, events, "data: failed badly\n\n"),
 		"200, a head as an event":   whole(200, events, "HTTP/1.1 500 X\nfailed badly\n\n"),
 		"200, then the right event": whole(200, events, "event: error\ndata: failed badly\n\n"+eventText(3)),
-		"200, half an event":        whole(200, events, "id: 3\ndata: failed badly"),
+		"200, an invalid field":     whole(200, events+"X A: b\r\n", eventText(3)),
+		"status 000": func(w io.Writer, r *http.Request) {
+			fmt.Fprintf(w, "HTTP/1.1 000 X\r\n%s: %s\r\n%s\r\n%s", idHeader, r.Header.Get(idHeader), events, eventText(3))
+		},
+		"200, half an event": whole(200, events, "id: 3\ndata: failed badly"),
 	}
 	for name, respond := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/io/protocol/upstream/broken_test.go
+++ b/io/protocol/upstream/broken_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -56,3 +57,29 @@
 		}
 	}
 }
+
+// Guards against streams of engines, and acknowledgements of orders, whose head is not
+// valid.
+func TestBrokenAnswerOfEngineIsNone(t *testing.T) {
+	const ack = `{"id":"o1","incarnation":7}`
+	answers := map[string]string{
+		"status line":   "HTTP/2.0 200 OK\r\n\r\n" + ack,
+		"two spaces":    "HTTP/1.1  200 OK\r\n\r\n" + ack,
+		"name of field": "HTTP/1.1 200 OK\r\nX A: b\r\n\r\n" + ack,
+		"interim":       "HTTP/1.1 103 X\r\nX A: b\r\n\r\nHTTP/1.1 200 OK\r\n\r\n" + ack,
+		"framing":       "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n1b\r\n" + ack + "\r\n0\r\n\r\n",
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			u, err := broken.Start(func(*http.Request) string { return answer }, func(*net.TCPConn) {})
+			assert.NilError(t, err)
+			defer u.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, err = newClient().Generate(ctx, u.Addr(), sampleGenerate())
+			assert.Check(t, result.CodeOf(err) == result.UpstreamFailed, "%v", err)
+			_, err = newClient().Load(ctx, u.Addr(), upstream.LoadOrder{Order: upstream.Order{ID: "o1", Incarnation: 7}, Adapter: letters})
+			assert.Check(t, result.CodeOf(err) == result.UpstreamFailed, "%v", err)
+		})
+	}
+}
