--- a/io/transport/client/answer_test.go
+++ b/io/transport/client/answer_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -29,6 +31,18 @@
 	return a.Status(), string(b), err
 }
 
+// assertInvalid checks that each of the answers is an error.
+func assertInvalid(t *testing.T, answers map[string]string) {
+	t.Helper()
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			status, body, err := fetch(t, answer)
+			assert.Check(t, err != nil, "status %d, body %q", status, body)
+		})
+	}
+}
+
 // Guards against responses that are not valid HTTP/1.1 and are taken for valid ones.
 func TestInvalidResponses(t *testing.T) {
 	const rest = "Content-Length: 4\r\n\r\nmade"
@@ -86,13 +100,7 @@
 		cases[name+", interim"] = "HTTP/1.1 103 X\r\n" + field + "\r\n\r\nHTTP/1.1 200 OK\r\n" + rest
 		cases[name+", no length"] = "HTTP/1.1 200 OK\r\n" + field + "\r\n\r\nmade"
 	}
-	for name, answer := range cases {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			status, body, err := fetch(t, answer)
-			assert.Check(t, err != nil, "status %d, body %q", status, body)
-		})
-	}
+	assertInvalid(t, cases)
 }
 
 // Guards against responses whose framing is ambiguous or wrong, so that their body may not
@@ -145,17 +153,11 @@
 	} {
 		cases[name] = chunked + body
 	}
-	for name, answer := range cases {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			status, body, err := fetch(t, answer)
-			assert.Check(t, err != nil, "status %d, body %q", status, body)
-		})
-	}
+	assertInvalid(t, cases)
 }
 
-// Guards against chunked responses that are taken for complete although a field after
-// the last chunk is invalid.
+// Guards against chunked responses that are taken for complete although a trailer field is
+// invalid.
 func TestInvalidTrailers(t *testing.T) {
 	cases := map[string]string{
 		"blank in a name":      "X A: b",
@@ -169,15 +171,13 @@
 		"NUL in a value":       "X-A: \x00",
 		"CR in a value":        "X-A: b\rc",
 	}
+	answers := make(map[string]string)
 	for name, field := range cases {
-		for _, announced := range []string{"", "Trailer: X-A\r\n"} {
-			t.Run(name+" "+announced, func(t *testing.T) {
-				t.Parallel()
-				_, body, err := fetch(t, "HTTP/1.1 200 OK\r\n"+announced+"Transfer-Encoding: chunked\r\n\r\n4\r\nmade\r\n0\r\n"+field+"\r\n\r\n")
-				assert.Check(t, err != nil, "body %q", body)
-			})
-		}
+		const chunks = "Transfer-Encoding: chunked\r\n\r\n4\r\nmade\r\n0\r\n"
+		answers[name] = "HTTP/1.1 200 OK\r\n" + chunks + field + "\r\n\r\n"
+		answers[name+", announced"] = "HTTP/1.1 200 OK\r\nTrailer: X-A\r\n" + chunks + field + "\r\n\r\n"
 	}
+	assertInvalid(t, answers)
 }
 
 // TestUnusualResponses checks that responses that HTTP/1.1 allows are read, however
@@ -220,22 +220,51 @@
 // Guards against the record of a reused connection that misses the beginning of a
 // response or mixes those of two exchanges.
 func TestReusedConnectionIsChecked(t *testing.T) {
-	answer := func(status string) string {
-		return "HTTP/1.1 " + status + " X\r\nContent-Length: 4\r\n\r\nmade"
+	const rest = "Content-Length: 4\r\n\r\nmade"
+	cases := map[string]struct{ answer, want string }{
+		"status line": {"HTTP/1.1 000 X\r\n" + rest, "status line"},
+		"field":       {"HTTP/1.1 200 X\r\nX A: b\r\n" + rest, "field"},
+		"interim":     {"HTTP/1.1 103 X\r\nX A: b\r\n\r\nHTTP/1.1 200 X\r\n" + rest, "field"},
+		"framing":     {"HTTP/1.1 204 X\r\n" + rest, "announces a body"},
 	}
-	url := cutServer(t, answer("200"), answer("204")[:len("HTTP/1.1 204 X\r\n")]+"\r\n", answer("299"), answer("000"))
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			url := cutServer(t, "HTTP/1.1 200 X\r\n"+rest, "HTTP/1.1 204 X\r\n\r\n", "HTTP/1.1 299 X\r\n"+rest, tc.answer)
+			c := New()
+			defer c.Close()
+			x := Exchange{Method: http.MethodGet, URL: url, Idempotent: true}
+			for _, want := range []int{200, 204, 299} {
+				a, err := c.Send(t.Context(), x)
+				assert.NilError(t, err)
+				assert.Equal(t, a.Status(), want)
+				_, err = a.ReadAll(100)
+				assert.NilError(t, err)
+				assert.NilError(t, a.Body().Close())
+			}
+			_, err := c.Send(t.Context(), x)
+			assert.ErrorContains(t, err, tc.want)
+		})
+	}
+}
+
+// Guards against responses without a body that are refused, since their connection is
+// reused before their record is taken.
+func TestRecordsStayApart(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
+	defer s.Close()
 	c := New()
 	defer c.Close()
-	for _, want := range []int{200, 204, 299, 0} {
-		a, err := c.Send(t.Context(), Exchange{Method: http.MethodGet, URL: url, Idempotent: true})
-		if want == 0 {
-			assert.ErrorContains(t, err, "status line")
-			return
-		}
-		assert.NilError(t, err)
-		assert.Equal(t, a.Status(), want)
-		_, err = a.ReadAll(100)
-		assert.NilError(t, err)
-		assert.NilError(t, a.Body().Close())
+	var senders sync.WaitGroup
+	for range 8 {
+		senders.Go(func() {
+			for range 500 {
+				a, err := c.Send(t.Context(), Exchange{Method: http.MethodGet, URL: s.URL, Idempotent: true})
+				if !assert.Check(t, err == nil, "%v", err) {
+					return
+				}
+				_ = a.Body().Close()
+			}
+		})
 	}
+	senders.Wait()
 }
