--- a/io/transport/client/transport.go
+++ b/io/transport/client/transport.go
@@ -41,11 +41,11 @@
 	return resp, nil
 }
 
-// chunkedBody is a chunked body that ends with an error if a field after its last chunk
-// is invalid.
+// chunkedBody is a chunked body that ends with an error if the name of a trailer field is
+// invalid.
 type chunkedBody struct {
 	io.ReadCloser
-	// resp has the fields once the body has been read.
+	// resp has the trailer fields once the body has been read.
 	resp *http.Response
 }
 
@@ -57,7 +57,7 @@
 	}
 	for name := range b.resp.Trailer {
 		if !isToken([]byte(name)) {
-			return n, fmt.Errorf("field %.100q after the last chunk is invalid", name)
+			return n, fmt.Errorf("trailer field %.100q is invalid", name)
 		}
 	}
 	return n, io.EOF
