consensus: a leader's tasks don't wait for heartbeats that reads put off

While linearizable reads came at least each 100 ms, a daemon that had lost its disk never became a voter again, and a lost message was never sent again.

tickLeader returned before its tasks unless heartbeats were due, and each read sends heartbeats and puts the next ones off. The tasks (resend, repair of the membership, probes of daemons outside) now run at each tick. Resends and probes have deadlines of their own; the repair has one change in progress at most.

--- a/core/coordination/consensus/replicate.go
+++ b/core/coordination/consensus/replicate.go
@@ -91,10 +91,11 @@
 	if !n.transferee.IsZero() && now.After(n.transferUntil) {
 		n.transferee = Voter{}
 	}
-	if now.Before(n.broadcastAt) {
-		return
+	if !now.Before(n.broadcastAt) {
+		n.broadcastHeartbeat(now)
 	}
-	n.broadcastHeartbeat(now)
+	// Every read puts the next heartbeats off. What follows has deadlines of its
+	// own and must not wait for them.
 	for _, v := range n.peers() {
 		n.resend(now, v)
 	}
