consensus: a lost disk is replaced as soon as its daemon speaks with another one

A daemon with a new disk became a voter only after the old identity had been silent for 3 s, counted anew from each election. That the daemon speaks with another disk shows that the old process has ended, so silence of four heartbeats (0.4 s) is enough now. It is still asked for: a second process of that name must not displace a voter that replies, and a late message of a lost disk displaces nobody. Majorities are counted among the members that are confirmed to be running.

--- a/core/coordination/consensus/doc.go
+++ b/core/coordination/consensus/doc.go
@@ -40,11 +40,12 @@
 // # Membership repair
 //
 // The leader adds an eligible daemon that probes with an unknown identity as a
-// learner. Once the learner has synced everything that is committed, the leader
-// removes the unresponsive voter with the same daemon name, if there is one,
-// and then promotes the learner. These are separate entries, each committed
-// before the next is proposed, so a majority of any configuration intersects a
-// majority of the next one. Between removal and promotion an entry needs a
-// majority of the remaining voters: the failure of another VM can stop commits
-// in this phase but cannot lose committed entries.
+// learner. If a voter has the same daemon name, it must have been silent for a few
+// heartbeats: the other identity shows that the process of the old disk has ended,
+// unless two processes have the name. Once the learner has synced everything that is
+// committed, the leader removes that voter and then promotes the learner. These are
+// separate entries, each committed before the next is proposed, so a majority of any
+// configuration intersects a majority of the next one. Between removal and promotion
+// an entry needs a majority of the remaining voters: the failure of another VM can
+// stop commits in this phase but cannot lose committed entries.
 package consensus
--- a/core/coordination/consensus/join.go
+++ b/core/coordination/consensus/join.go
@@ -221,11 +221,23 @@
 	if !ok {
 		return
 	}
-	if m, err := n.membersAfter(c); err == nil && n.reachesMajority(now, m) {
+	if m, err := n.membersAfter(c); err == nil && n.confirmsMajority(now, m) {
 		n.appendEntry(now, entry.Voters, EncodeMembers(m))
 	}
 }
 
+// confirmsMajority reports whether a majority of the voters in m is confirmed to
+// be running.
+func (n *Node) confirmsMajority(now time.Time, m Members) bool {
+	confirmed := 0
+	for _, v := range m.voters {
+		if p := n.progress[v]; v == n.self || p != nil && now.Before(p.confirmedUntil) {
+			confirmed++
+		}
+	}
+	return confirmed >= m.Majority()
+}
+
 func (n *Node) nextRepairChange(now time.Time) (Change, bool) {
 	for _, l := range n.members().learners {
 		if c, ok := n.promotionChange(now, l); ok {
@@ -311,7 +323,7 @@
 		return Change{}, false
 	}
 	if old, ok := otherDiskOf(n.members().voters, l); ok {
-		return Change{Remove, old}, n.unresponsive(now, old)
+		return Change{Remove, old}, n.silent(now, old)
 	}
 	if old, ok := n.replaceableVoter(now); ok {
 		return Change{Remove, old}, true
@@ -340,14 +352,22 @@
 		return Change{}, false
 	}
 	if old, ok := otherDiskOf(m.learners, j); ok {
-		return Change{Remove, old}, n.unresponsive(now, old)
+		return Change{Remove, old}, n.silent(now, old)
 	}
-	if old, ok := otherDiskOf(m.voters, j); ok && !n.unresponsive(now, old) {
-		return Change{}, false
+	if old, ok := otherDiskOf(m.voters, j); ok {
+		return Change{AddLearner, j}, n.silent(now, old)
 	}
 	return Change{AddLearner, j}, len(m.learners) < maxLearners
 }
 
+// silent reports whether a member has been silent for long enough to count as
+// lost when its daemon speaks with another disk. The word of the other disk alone
+// is not enough: a second process of that name must not displace one that works.
+func (n *Node) silent(now time.Time, v Voter) bool {
+	p := n.progress[v]
+	return p != nil && !now.Before(p.silentAt)
+}
+
 // unresponsive reports whether a member has been unresponsive for
 // unresponsiveAfter.
 func (n *Node) unresponsive(now time.Time, v Voter) bool {
--- a/core/coordination/consensus/replicate.go
+++ b/core/coordination/consensus/replicate.go
@@ -15,12 +15,15 @@
 	resendEntriesAfter = 300 * time.Millisecond
 	// resendSnapshotAfter is the corresponding time for a snapshot.
 	resendSnapshotAfter = 3 * time.Second
-	// unresponsiveAfter is how long a member must be unresponsive before its
-	// disk may be considered lost when the daemon reappears with another one.
+	// unresponsiveAfter is how long a member must be unresponsive before another
+	// daemon may take its place.
 	unresponsiveAfter = 3 * time.Second
 	// confirmedFor is how long a reply confirms that a member is running: a few
-	// heartbeats, and less time than a new disk needs to join.
+	// heartbeats.
 	confirmedFor = 4 * HeartbeatInterval
+	// silentAfter is how long a member must be silent before its disk counts as
+	// lost when its daemon has reappeared with another one.
+	silentAfter = 4 * HeartbeatInterval
 	// maxEntries limits the number of entries in one message.
 	maxEntries = 256
 	// maxBytes limits the size of their data, unless a single entry is larger.
@@ -46,6 +49,9 @@
 	reachableUntil time.Time
 	// unresponsiveAt is when the member starts to count as unresponsive.
 	unresponsiveAt time.Time
+	// silentAt is when the member starts to count as silent; it is at most
+	// unresponsiveAt.
+	silentAt time.Time
 	// confirmedUntil is the time until which the member is confirmed to be
 	// running; it is zero until the member has replied to this leader.
 	confirmedUntil time.Time
@@ -55,6 +61,7 @@
 func (p *progress) extendReachable(now time.Time) {
 	p.reachableUntil = now.Add(ElectionTimeout)
 	p.unresponsiveAt = now.Add(unresponsiveAfter)
+	p.silentAt = now.Add(silentAfter)
 }
 
 func (p *progress) recordReply(now time.Time) {
