consensus: a disk lost while another of five voters is down

The suspicion was that the learner isn't promoted while another voter is down, since the number of voters follows the members that run. The test holds on the code before as well: the learner takes the seat of the voter that is down.

--- a/core/coordination/consensus/repair_test.go
+++ b/core/coordination/consensus/repair_test.go
@@ -81,6 +81,24 @@
 	}
 }
 
+// TestDiskLostWhileAnotherIsDown guards against a new disk that stays a learner
+// because another of five voters is down.
+func TestDiskLostWhileAnotherIsDown(t *testing.T) {
+	c := newOpenCluster(t, "a", "b", "c", "d", "e")
+	c.run(10 * time.Second)
+	down, lost := c.nodeNamed("b"), c.nodeNamed("d")
+	c.crash(down, 0)
+	c.crash(lost, 0)
+	c.runReading(100 * time.Millisecond)
+	c.wipe(lost)
+	c.setEligible()
+	c.runReading(catchUpTime)
+	c.crash(c.nodeNamed("c"), 0)
+	c.runReading(2 * time.Second)
+	assert.Assert(t, c.leader() != nil)
+	c.commit()
+}
+
 // TestLeaderTasksDuringReads guards against tasks of the leader that frequent
 // reads put off for as long as they come.
 func TestLeaderTasksDuringReads(t *testing.T) {
