Departures are acknowledged once a majority of the daemons with a disk know of them

The departure stood in the memory of that process alone until the next gossip, up to 200 ms later, and the replica says nothing more.

Before the acknowledgement of a departure, or of the first report as draining, the record is now sent to all daemons with a disk and to 16 others at once, and a majority of those with a disk must have it: only a minority of them may be lost at once. The rest hear by gossip. The own interface does the same for leave. A daemon that has just started refuses the departure of a replica that it doesn't know; it acknowledged it without effect.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -161,6 +161,8 @@
 		owned:          make(map[ident.Upstream]*owned),
 		clockAnchors:   make(map[ident.Upstream]anchor),
 		gossipReplies:  make(map[uint64]chan<- membership.Response),
+		replications:   make(map[uint64]func(ok bool)),
+		safeDepartures: make(map[ident.Upstream]ident.Incarnation),
 		dispatcher:     dispatch.New(d.self, dispatch.Default()),
 		directory:      routing.NewDirectory(routing.Default()),
 		services:       routing.NewServices(d.dataCentre),
--- a/io/daemon/members.go
+++ b/io/daemon/members.go
@@ -47,6 +47,10 @@
 			delete(c.gossipReplies, e.Token)
 		case membership.ProbeNewConnection:
 			c.send.probe(e.Daemon, e.Address)
+		case membership.Replicated:
+			c.replicated(e.Token, true)
+		case membership.ReplicationFailed:
+			c.replicated(e.Token, false)
 		case membership.Changed:
 			// Hundreds of reports can arrive per second, so the tables are
 			// rebuilt at most once per tick.
@@ -63,7 +67,7 @@
 	c.send.gossip(e.Address, e.Request, func(now time.Time, resp membership.Response, err error) {
 		switch {
 		case err == nil:
-			c.stepMembers(now, membership.ResponseReceived{Response: resp})
+			c.stepMembers(now, membership.ResponseReceived{Response: resp, Token: e.Token})
 		case e.To != "":
 			c.stepMembers(now, membership.CallFailed{Daemon: e.To})
 		}
@@ -164,6 +168,7 @@
 	for name := range removed {
 		c.services.Remove(name)
 		c.directory.Remove(name)
+		delete(c.safeDepartures, name)
 	}
 	c.replicasChanged(now)
 }
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -226,14 +226,36 @@
 }
 
 // Announce applies a replica's announcement. Once it returns without an error,
-// the announcement is being spread to the other daemons.
+// the announcement is being spread to the other daemons, and one of a replica that
+// leaves is known to enough of them.
 func (p *Platform) Announce(ctx context.Context, a Announcement) error {
-	return p.d.ctl.call(ctx, func(now time.Time) { p.d.ctl.announcementReceived(now, a) })
+	if err := p.d.ctl.call(ctx, func(now time.Time) { p.d.ctl.announcementReceived(now, a) }); err != nil {
+		return result.New(result.Draining, "%w", err)
+	}
+	if !a.Leaving {
+		return nil
+	}
+	return p.d.ensureDeparture(ctx, a.Replica)
 }
 
-// Leave records that a replica accepts no more work.
+// Leave records that a replica accepts no more work. Once it returns without an
+// error, enough other daemons know of it. The error code is [result.NotFresh] if
+// too few confirm it in time, or if this daemon has just started and may not know
+// the replica yet.
 func (p *Platform) Leave(ctx context.Context, name ident.Upstream) error {
-	return p.d.ctl.call(ctx, func(now time.Time) { p.d.ctl.leaveReceived(now, name) })
+	var unsure bool
+	err := p.d.ctl.call(ctx, func(now time.Time) {
+		p.d.ctl.leaveReceived(now, name)
+		_, known := p.d.ctl.members.Upstream(name)
+		unsure = !known && p.d.ctl.members.Joining(now)
+	})
+	switch {
+	case err != nil:
+		return result.New(result.Draining, "%w", err)
+	case unsure:
+		return result.New(result.NotFresh, "replica %q is not known to this daemon, which has just started", name)
+	}
+	return p.d.ensureDeparture(ctx, name)
 }
 
 // leaveSequence is added to the sequence number of a replica that leaves, so
--- a/io/daemon/upstreams.go
+++ b/io/daemon/upstreams.go
@@ -74,8 +74,9 @@
 }
 
 // handleLeave marks an upstream as leaving, which stops new work for it.
+// It returns once enough other daemons know of it.
 func (d *Daemon) handleLeave(ctx context.Context, l upstream.Leaving) (upstream.DaemonReply, error) {
-	return d.updateUpstream(ctx, l.Name, func(now time.Time) bool {
+	reply, err := d.updateUpstream(ctx, l.Name, func(now time.Time) bool {
 		u, ok := d.ctl.members.Upstream(l.Name)
 		if !ok || u.Version.Incarnation != l.Incarnation {
 			return false
@@ -85,6 +86,10 @@
 		d.ctl.announceUpstream(now, u)
 		return true
 	})
+	if err != nil || !reply.Known {
+		return reply, err
+	}
+	return reply, d.ensureDeparture(ctx, l.Name)
 }
 
 // announceUpstream creates a new version of an upstream's record. The sequence
