gateway: an answer that ends with its connection clears nothing until its replica lives on

Such an answer is whole by HTTP when its connection closes, also between two events of a stream, so the part even counted as answered. Whether the replica lives was asked only while there was evidence, and this was to be the evidence.

Such an answer now counts half a second later, if its replica has given a sign of life 0.3 s after the end or later, or answers a probe; else the replica has ended under the request. The client's answer does not wait. Probes are shared, and made only if no other answer has come.

--- a/io/gateway/ended.go
+++ b/io/gateway/ended.go
@@ -48,7 +48,7 @@
 	x.g.Log.Info("replica ended", "replica", r.Name, "incarnation", uint64(r.Incarnation), "end", blame.EndKey(r.Name, r.Incarnation).String(), "request", x.r.ID, "route", x.route.Name,
 		"key", x.suspect().Request.String(), "parts", strings.Join(x.r.SharedParts, " "), "runs", x.runs, "last", x.lastEventID, "leaving", leaving)
 	if !leaving {
-		x.recordEnd(r)
+		x.g.noteEnded(r, x.suspect(), x.trial)
 	}
 }
 
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -398,9 +398,7 @@
 		v, ferr := x.recordRunFailure(result.New(result.UpstreamFailed, "replica %s: %w", x.replica, err))
 		return v, balance.Faulty, ferr
 	}
-	if a.Status() < http.StatusInternalServerError {
-		x.recordAnswer(ctx, a)
-	}
+	x.recordAnswer(ctx, a)
 	_ = a.Body().Close()
 	outcome := balance.Good
 	if a.Status() >= http.StatusInternalServerError {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -176,6 +176,8 @@
 	// endBy is when the process will end; nil while that is not known.
 	endBy    atomic.Pointer[time.Time]
 	evidence evidence
+	// unmarked is how many answers that ended with their connections are not settled.
+	unmarked atomic.Int64
 
 	mu       sync.Mutex
 	balancer *balance.Balancer
@@ -187,6 +189,8 @@
 	daemons int
 	// endChecks are the latest checks whether replicas have ended.
 	endChecks []*endCheck
+	// signs are the latest signs of life of replicas, as far as they were waited for.
+	signs map[ident.Upstream]sign
 	// changed is closed and replaced whenever waiting requests should look
 	// again.
 	changed chan struct{}
@@ -209,6 +213,7 @@
 		demands:    make(map[placement.Weights]*demand),
 		estimators: make(map[ident.Service]*pace.RateEstimator),
 		evidence:   evidence{tracker: blame.New()},
+		signs:      make(map[ident.Upstream]sign),
 	}
 	g.requiredVersions.Store(&map[placement.Weights]RequiredVersion{})
 	g.balancer.SetStartedAt(c.Clock())
--- a/io/gateway/notice.go
+++ b/io/gateway/notice.go
@@ -18,6 +18,7 @@
 	if h.Misdirected && h.Replica != "" && h.Replica != r.Name {
 		return
 	}
+	x.g.noteSign(r)
 	x.g.Hear(r.Name, r.Incarnation, x.g.Dialect.ParseNotice(a.Status(), a.Header(), x.g.Clock()))
 }
 
--- a/io/gateway/verdict.go
+++ b/io/gateway/verdict.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -115,35 +116,44 @@
 	}
 }
 
-// recordEnd records that a replica ended while the request was in flight.
-func (x *exchange) recordEnd(r balance.Replica) {
-	now := x.g.Clock()
+// noteEnded records that a replica ended under a request.
+func (g *Gateway) noteEnded(r balance.Replica, s blame.Suspect, trial blame.Trial) {
 	var e blame.Ended
-	x.g.evidence.update(func(t *blame.Tracker) {
-		e = t.Ended(now, blame.EndKey(r.Name, r.Incarnation), x.suspect(), x.trial)
+	g.evidence.update(func(t *blame.Tracker) {
+		e = t.Ended(g.Clock(), blame.EndKey(r.Name, r.Incarnation), s, trial)
 	})
-	x.g.wake()
-	x.g.PublishBlame([]blame.Entry{e})
+	g.wake()
+	g.PublishBlame([]blame.Entry{e})
 }
 
-// recordAnswer records that a replica has answered the request in full. An answer
-// that ends with its connection looks the same if the replica has ended.
+// recordAnswer records that a replica has answered the request in full.
 func (x *exchange) recordAnswer(ctx context.Context, a *client.Answer) {
-	if x.g.evidence.some.Load() && !a.EndMarked() && x.g.replicaEnded(ctx, x.target) {
-		x.noteEnd(ctx, x.target)
-		return
-	}
-	if !x.g.evidence.some.Load() {
-		if parts := x.parts(); len(parts) > 0 {
-			x.g.evidence.update(func(t *blame.Tracker) { t.NoteAnswered(x.g.Clock(), parts) })
-		}
-		return
+	failed := a.Status() >= http.StatusInternalServerError
+	switch {
+	case !a.EndMarked():
+		x.recordUnmarked(ctx, failed)
+	case failed:
+	case x.g.evidence.some.Load():
+		x.g.noteAnswered(x.suspect())
+	case len(x.r.SharedParts) > 0:
+		x.g.noteAnswered(blame.Suspect{Parts: x.parts()})
 	}
+}
+
+// noteAnswered records that a request was answered in full by a replica that lives
+// on. While there is no evidence, only its parts matter.
+func (g *Gateway) noteAnswered(s blame.Suspect) {
 	var cleared []blame.Entry
-	x.g.evidence.update(func(t *blame.Tracker) { cleared = t.Answered(x.g.Clock(), x.suspect()) })
+	g.evidence.update(func(t *blame.Tracker) {
+		if t.Empty() {
+			t.NoteAnswered(g.Clock(), s.Parts)
+			return
+		}
+		cleared = t.Answered(g.Clock(), s)
+	})
 	if len(cleared) > 0 {
-		x.g.PublishBlame(cleared)
-		x.g.wake()
+		g.PublishBlame(cleared)
+		g.wake()
 	}
 }
 
