--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -88,6 +88,7 @@
 		},
 		ConfirmRoutes: p.confirmRoutes,
 		PublishBlame:  p.publishBlame, ReplicaLeaves: p.tellLeaving, LeftAlone: meter.countLeftAlone,
+		EndedAfterAnswer: meter.countEndedAfterAnswer,
 	})
 	return p
 }
--- a/io/daemon/routed.go
+++ b/io/daemon/routed.go
@@ -43,7 +43,8 @@
 	results          map[result.Code]tally.Counter
 	firstByte, total tally.Histogram
 	retries          tally.Counter
-	// endsInFlight counts replicas that ended before they had answered a request.
+	// endsInFlight counts replicas that ended before they had answered a request, or
+	// with an answer that ended with its connection.
 	endsInFlight tally.Counter
 }
 
@@ -82,6 +83,13 @@
 	}
 }
 
+// countEndedAfterAnswer counts a request whose replica ended with its answer.
+func (m *routedMeter) countEndedAfterAnswer(route string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.route(route).endsInFlight.Inc(1)
+}
+
 // countLeftAlone counts a replica that is left alone since it has said so.
 func (m *routedMeter) countLeftAlone(reason string) {
 	m.scope.Tagged(map[string]string{"reason": reason}).Counter("left_alone").Inc(1)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -130,6 +130,9 @@
 	// LeftAlone is called for each replica that gets no more requests because it
 	// has said so.
 	LeftAlone func(reason string)
+	// EndedAfterAnswer is called for each request of a route whose replica was found
+	// ended after its answer had ended with the connection.
+	EndedAfterAnswer func(route string)
 	// Observe is called for every finished request.
 	Observe func(o Observation)
 }
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -198,6 +198,7 @@
 		ReplicaEnded:  refusesConnections,
 		ConfirmRoutes: func(context.Context) error { return nil },
 		PublishBlame:  func([]blame.Entry) {}, ReplicaLeaves: func(ident.Upstream, ident.Incarnation) {}, LeftAlone: func(string) {},
+		EndedAfterAnswer: func(string) {},
 	})
 	g.SetTable(table)
 	var all []balance.Replica
--- a/io/gateway/unmarked.go
+++ b/io/gateway/unmarked.go
@@ -77,6 +77,7 @@
 	planned := g.leaves(r) || g.IsQuiet(r.Name, r.Incarnation)
 	g.Log.Info("replica ended", "replica", r.Name, "incarnation", uint64(r.Incarnation), "end", blame.EndKey(r.Name, r.Incarnation).String(),
 		"request", a.request, "route", a.route, "key", a.suspect.Request.String(), "parts", a.parts, "answered", g.Clock().Sub(a.endedAt).Milliseconds(), "leaving", planned)
+	g.EndedAfterAnswer(a.route)
 	if !planned {
 		g.noteEnded(r, a.suspect, a.trial)
 	}
--- a/io/gateway/unmarked_test.go
+++ b/io/gateway/unmarked_test.go
@@ -66,6 +66,8 @@
 				replicas = append(replicas, x)
 			}
 			g := newTestGatewayWithLimits(t, routes.Route{Timeout: 6 * time.Second, MaxAttempts: 2}, unlimitedRetries, nil, replicas...)
+			var counted atomic.Int64
+			g.EndedAfterAnswer = func(string) { counted.Add(1) }
 			sound := func() int {
 				resp, _, _ := g.send(t, http.MethodPost, c.path+"/sound")
 				return resp.StatusCode
@@ -88,6 +90,7 @@
 			}
 			assert.Assert(t, ended >= 3 && ended <= 4, "%d replicas ended", ended)
 			assert.Equal(t, sound(), http.StatusOK)
+			assert.Assert(t, counted.Load() > 0)
 		})
 	}
 }
