witness: a daemon that is far behind gets the state if that is smaller than the entries

It fetched 18 documents of about 100 KB each, three in a message, each message taking 1 to 2 s while all daemons start; only the last one matters. The state was sent only if the entries were gone.

A response that holds a part of the missing entries now says how much is missing, and the daemon sends its state in their place if that takes fewer bytes.

TestFarBehindGetsTheStateIfItIsSmaller failed before.

--- a/core/coordination/witness/message.go
+++ b/core/coordination/witness/message.go
@@ -142,6 +142,10 @@
 	// WithSnapshot asks the caller to add a snapshot of the current state
 	// machine to the response.
 	WithSnapshot bool
+	// Behind is the size in bytes of what the other daemon lacks if the response
+	// holds only a part of it, else 0. A snapshot that is smaller should take the
+	// place of the entries.
+	Behind uint64
 }
 
 // Apply asks the state machine to apply entries, the first of which follows the
--- a/core/coordination/witness/witness.go
+++ b/core/coordination/witness/witness.go
@@ -353,6 +353,9 @@
 		es, ok := w.tail.after(r.Request.Applied)
 		resp.Entries = es
 		reply.WithSnapshot = !ok
+		if n := len(es); n > 0 && es[n-1].Index < w.applied {
+			reply.Behind = w.tail.sizeAfter(r.Request.Applied)
+		}
 	}
 	reply.Response = resp
 	return reply
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -56,6 +56,9 @@
 	// voter is nil on a daemon without a data folder.
 	voter   *voter
 	witness *witness.Witness
+	// snapshotSize is the size in bytes of the last snapshot sent to a witness; 0
+	// before the first one.
+	snapshotSize uint64
 	// proposals are the open proposals of this daemon as the leader.
 	proposals proposals
 	// leader is the last known leader, empty if none is known.
--- a/io/daemon/stale_test.go
+++ b/io/daemon/stale_test.go
@@ -133,3 +133,44 @@
 		t.Run(name, func(t *testing.T) { assert.Equal(t, age(tc.now, at), tc.want) })
 	}
 }
+
+// TestFarBehindGetsTheStateIfItIsSmaller guards against daemons that fetch one large
+// document after the other, of which only the last one matters.
+func TestFarBehindGetsTheStateIfItIsSmaller(t *testing.T) {
+	const documents, size = 9, 100 << 10
+	cases := map[string]struct {
+		applied  uint64
+		snapshot bool
+	}{
+		"nothing applied":  {0, true},
+		"far behind":       {2, true},
+		"two behind":       {documents - 2, false},
+		"nothing to fetch": {documents, false},
+	}
+	d := newPlatformDaemon(t)
+	for i := uint64(1); i <= documents; i++ {
+		data, err := peer.EncodeCommand(state.PutRouting{Version: i, Document: append(binary.BigEndian.AppendUint64(nil, i), make([]byte, size)...)})
+		assert.NilError(t, err)
+		_, err = d.handleWitness(t.Context(), witness.Request{
+			From: "w", Incarnation: 1, Applied: i,
+			Entries: []entry.Entry{{Index: i, Term: 1, Kind: entry.Command, Data: data}},
+		})
+		assert.NilError(t, err)
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			resp, err := d.handleWitness(t.Context(), witness.Request{From: "x", Incarnation: 1, Applied: tc.applied, WantEntries: true})
+			assert.NilError(t, err)
+			got := uint64(0)
+			if n := len(resp.Entries); n > 0 {
+				got = resp.Entries[n-1].Index
+			}
+			if tc.snapshot {
+				assert.Equal(t, len(resp.Entries), 0)
+				got = resp.Snapshot.Index
+				assert.Assert(t, len(resp.Snapshot.Data) < 2*size)
+			}
+			assert.Assert(t, got == documents || tc.applied == documents, "behind by %d after it", documents-got)
+		})
+	}
+}
--- a/io/daemon/witness.go
+++ b/io/daemon/witness.go
@@ -41,20 +41,24 @@
 }
 
 // replyWitness answers a witness exchange, with a snapshot of the state if the
-// other daemon needs one.
+// other daemon needs one or gets it sooner than the entries.
 func (c *control) replyWitness(r witness.Reply) {
 	ch := c.witnessReplies[r.Token]
 	delete(c.witnessReplies, r.Token)
 	if ch == nil {
 		return
 	}
-	if r.WithSnapshot {
+	if r.WithSnapshot || r.Behind > c.snapshotSize {
 		data, err := encodeState(c.state)
 		if err != nil {
 			c.log.Error(err, "snapshot for a witness")
 			return
 		}
-		r.Response.Snapshot = witness.Snapshot{Index: c.witness.Applied(), Term: c.term, Data: data}
+		c.snapshotSize = uint64(len(data))
+		if r.WithSnapshot || r.Behind > c.snapshotSize {
+			r.Response.Entries = nil
+			r.Response.Snapshot = witness.Snapshot{Index: c.witness.Applied(), Term: c.term, Data: data}
+		}
 	}
 	ch <- r.Response
 }
