consensus: a voter that is dark keeps its seat until another disk can take it

A voter that was silent for 8 s was removed without a successor. Of the four that remained two were no majority, and the dark machine with its disk was no voter.

Such a voter is now removed after ten minutes, when it is gone for good; a set of four bears no more lost disks than a set of five with one of them dark. A learner still replaces it after 3 s, and learners that are gone still make room after 8 s.

--- a/core/coordination/consensus/join.go
+++ b/core/coordination/consensus/join.go
@@ -27,10 +27,13 @@
 	// some are unresponsive: with fewer, the loss of one disk could lose
 	// entries.
 	minOpenVoters = 3
-	// removeAfter is the time, in addition to unresponsiveAfter, after which an
-	// unresponsive voter of an open cluster is removed even without a learner
-	// to replace it.
-	removeAfter = 5 * time.Second
+	// removeLearnerAfter is how long a learner of an open cluster must be
+	// unresponsive before it is removed, which makes room for others.
+	removeLearnerAfter = 8 * time.Second
+	// removeVoterAfter is the corresponding time for a voter without a learner to
+	// replace it. Its disk may hold entries that are needed when other disks are
+	// lost, so it must be gone for good, not merely down.
+	removeVoterAfter = 10 * time.Minute
 )
 
 // probeResult is the probe reply of an eligible daemon.
@@ -284,14 +287,16 @@
 	if !n.open {
 		return Change{}, false
 	}
-	expired := func(v Voter) bool {
-		p := n.progress[v]
-		return p != nil && !now.Before(p.unresponsiveAt.Add(removeAfter))
+	silentFor := func(d time.Duration) func(v Voter) bool {
+		return func(v Voter) bool {
+			p := n.progress[v]
+			return p != nil && !now.Before(p.unresponsiveAt.Add(d-unresponsiveAfter))
+		}
 	}
-	if i := slices.IndexFunc(n.members().learners, expired); i >= 0 {
+	if i := slices.IndexFunc(n.members().learners, silentFor(removeLearnerAfter)); i >= 0 {
 		return Change{Remove, n.members().learners[i]}, true
 	}
-	if i := slices.IndexFunc(n.members().voters, expired); i >= 0 && len(n.members().voters) > minOpenVoters {
+	if i := slices.IndexFunc(n.members().voters, silentFor(removeVoterAfter)); i >= 0 && len(n.members().voters) > minOpenVoters {
 		return Change{Remove, n.members().voters[i]}, true
 	}
 	return Change{}, false
--- a/core/coordination/consensus/repair_test.go
+++ b/core/coordination/consensus/repair_test.go
@@ -99,6 +99,42 @@
 	c.commit()
 }
 
+// TestDisksLostWhileOthersAreDark guards against an acknowledged entry that can't be
+// read any more although a majority of the disks is still there: some voters are down
+// for longer than a repair takes, and keep their disks, and as many disks as may be
+// lost are lost meanwhile.
+func TestDisksLostWhileOthersAreDark(t *testing.T) {
+	for dark := 1; dark <= 2; dark++ {
+		for _, downFor := range []time.Duration{5 * time.Second, 11 * time.Second, time.Minute} {
+			t.Run(fmt.Sprintf("%d dark for %s", dark, downFor), func(t *testing.T) {
+				c := newOpenCluster(t, "a", "b", "c", "d", "e")
+				c.run(10 * time.Second)
+				for _, m := range c.machines[:dark] {
+					c.crash(m, 0)
+				}
+				c.run(downFor)
+				c.commit()
+				lost := c.machines[3:]
+				for _, m := range lost {
+					c.crash(m, 0)
+				}
+				c.run(time.Second)
+				for _, m := range c.machines[:dark] {
+					c.start(m)
+				}
+				for _, m := range lost {
+					c.wipe(m)
+				}
+				c.setEligible()
+				c.run(15 * time.Second)
+				assert.Assert(t, c.leader() != nil)
+				c.commit()
+				assert.Assert(t, c.hasVoters(c.machines))
+			})
+		}
+	}
+}
+
 // TestLeaderTasksDuringReads guards against tasks of the leader that frequent
 // reads put off for as long as they come.
 func TestLeaderTasksDuringReads(t *testing.T) {
