--- a/core/coordination/membership/replicate_test.go
+++ b/core/coordination/membership/replicate_test.go
@@ -33,6 +33,8 @@
 		// slow are daemons that can't be reached from before the departure until
 		// after the acknowledgement.
 		slow []int
+		// starts is true if another daemon starts at the moment of the acknowledgement.
+		starts bool
 	}{
 		"daemon without a disk":       {disks: 3, victim: 4},
 		"daemon with a disk":          {disks: 3, victim: 1},
@@ -41,6 +43,7 @@
 		"while one with a disk hangs": {disks: 3, victim: 3, slow: []int{2}},
 		"two of five with a disk":     {disks: 5, victim: 0, others: []int{1}},
 		"no disks":                    {disks: 0, victim: 4, others: []int{5}},
+		"while another one starts":    {disks: 3, victim: 4, starts: true},
 	}
 	for name, tc := range cases {
 		for _, n := range []int{6, 24, 100} {
@@ -58,6 +61,9 @@
 							c.members[c.addresses[i]] = nil
 						}
 						c.blocked = nil
+						if tc.starts {
+							c.start("new", "127.0.0.1:2000")
+						}
 					}
 					c.blocked = func(from, to string) bool {
 						for _, i := range tc.slow {
