--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -56,8 +56,8 @@
 	// voter is nil on a daemon without a data folder.
 	voter   *voter
 	witness *witness.Witness
-	// snapshotSize is the size in bytes of the last snapshot sent to a witness; 0
-	// before the first one.
+	// snapshotSize is the size in bytes of the last snapshot that was encoded or
+	// installed; 0 before the first one.
 	snapshotSize uint64
 	// proposals are the open proposals of this daemon as the leader.
 	proposals proposals
--- a/io/daemon/voter.go
+++ b/io/daemon/voter.go
@@ -88,6 +88,7 @@
 		c.log.Error(err, "snapshot")
 		return
 	}
+	c.snapshotSize = uint64(len(data))
 	c.stepVoter(now, consensus.Compact(c.witness.Applied(), data))
 }
 
--- a/io/daemon/witness.go
+++ b/io/daemon/witness.go
@@ -113,7 +113,7 @@
 		c.stop()
 		return
 	}
-	c.state, c.term = st, s.Term
+	c.state, c.term, c.snapshotSize = st, s.Term, uint64(len(s.Data))
 	c.placementState.history.Observe(now, st.View().Placer())
 	c.membersDirty = true
 	c.restoreVerdicts(now)
