--- a/core/coordination/blame/select.go
+++ b/core/coordination/blame/select.go
@@ -34,14 +34,28 @@
 
 // likeliest returns at most MaxParts of the parts of a prompt, in order: those that
 // are most likely to explain the end of a replica. These are the ones under which
-// most replicas have ended, and then those that nobody has seen answered. A part of
-// which nothing is known is drawn at one of the next ends, and is then kept.
+// most replicas have ended, and then those that this daemon has not seen answered. A
+// part of which nothing is known is drawn at one of the next ends, and is then kept.
 func (t *Tracker) likeliest(now time.Time, end Key, parts []Key) []Key {
 	if len(parts) <= MaxParts {
 		return parts
 	}
 	t.rememberLong(now, end, parts)
-	candidates := make([]candidate, len(parts))
+	all := t.candidates(end, parts)
+	slices.SortFunc(all, candidate.compare)
+	all = slices.CompactFunc(all, func(a, b candidate) bool { return a.key == b.key })
+	chosen := all[:min(len(all), MaxParts)]
+	slices.SortFunc(chosen, func(a, b candidate) int { return cmp.Compare(a.place, b.place) })
+	out := make([]Key, 0, len(chosen))
+	for _, c := range chosen {
+		out = append(out, c.key)
+	}
+	return out
+}
+
+// candidates returns what is known of the parts of a prompt.
+func (t *Tracker) candidates(end Key, parts []Key) []candidate {
+	out := make([]candidate, len(parts))
 	for i, k := range parts {
 		c := candidate{key: k, place: i, answered: t.history.has(k), draw: scramble(k ^ end), score: t.longEnds(k)}
 		if r := t.records[k]; r != nil {
@@ -50,21 +64,16 @@
 		if c.answered {
 			c.score /= 2
 		}
-		candidates[i] = c
-	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), compareBool(a.answered, b.answered), cmp.Compare(a.draw, b.draw))
-	})
-	candidates = slices.CompactFunc(candidates, func(a, b candidate) bool { return a.key == b.key })
-	chosen := candidates[:min(len(candidates), MaxParts)]
-	slices.SortFunc(chosen, func(a, b candidate) int { return cmp.Compare(a.place, b.place) })
-	out := make([]Key, 0, MaxParts)
-	for _, c := range chosen {
-		out = append(out, c.key)
+		out[i] = c
 	}
 	return out
 }
 
+// compare orders the likelier candidate first.
+func (c candidate) compare(o candidate) int {
+	return cmp.Or(cmp.Compare(o.score, c.score), compareBool(c.answered, o.answered), cmp.Compare(c.draw, o.draw))
+}
+
 // rememberLong remembers a prompt with many parts.
 func (t *Tracker) rememberLong(now time.Time, end Key, parts []Key) {
 	p := longPrompt{end: end, parts: make(map[Key]bool, len(parts)), until: now.Add(evidenceTTL)}
