--- a/core/coordination/consensus/join.go
+++ b/core/coordination/consensus/join.go
@@ -287,21 +287,27 @@
 	if !n.open {
 		return Change{}, false
 	}
-	silentFor := func(d time.Duration) func(v Voter) bool {
-		return func(v Voter) bool {
-			p := n.progress[v]
-			return p != nil && !now.Before(p.unresponsiveAt.Add(d-unresponsiveAfter))
-		}
-	}
-	if i := slices.IndexFunc(n.members().learners, silentFor(removeLearnerAfter)); i >= 0 {
-		return Change{Remove, n.members().learners[i]}, true
+	m := n.members()
+	if l, ok := n.goneFor(now, m.learners, removeLearnerAfter); ok {
+		return Change{Remove, l}, true
 	}
-	if i := slices.IndexFunc(n.members().voters, silentFor(removeVoterAfter)); i >= 0 && len(n.members().voters) > minOpenVoters {
-		return Change{Remove, n.members().voters[i]}, true
+	if v, ok := n.goneFor(now, m.voters, removeVoterAfter); ok && len(m.voters) > minOpenVoters {
+		return Change{Remove, v}, true
 	}
 	return Change{}, false
 }
 
+// goneFor returns the first of some members that has been unresponsive for a time,
+// which is at least unresponsiveAfter.
+func (n *Node) goneFor(now time.Time, vs []Voter, d time.Duration) (Voter, bool) {
+	for _, v := range vs {
+		if p := n.progress[v]; p != nil && !now.Before(p.unresponsiveAt.Add(d-unresponsiveAfter)) {
+			return v, true
+		}
+	}
+	return Voter{}, false
+}
+
 // replaceableVoter returns a voter of an open cluster that a learner may
 // replace: one that is unresponsive or about to stop. A voter that is about to
 // stop is replaced only while all voters are reachable.
--- a/core/coordination/membership/doc.go
+++ b/core/coordination/membership/doc.go
@@ -19,6 +19,13 @@
 // because a few records are always in flight. Each daemon thus sends 10 requests
 // a second, 5 in larger clusters, and a message holds at most 8 KiB of records.
 //
+// # Replication
+//
+// Gossip loses a record with the daemon that received it, until that daemon has
+// passed it on. What must not be lost is replicated first: the daemon sends the
+// record to all daemons with a disk, and to some others, and waits until a majority
+// of those with a disk have it. The rest hear by gossip.
+//
 // # Refresh and expiry
 //
 // A record expires at its deadline unless a later version arrives. Within the
--- a/core/coordination/witness/doc.go
+++ b/core/coordination/witness/doc.go
@@ -23,7 +23,8 @@
 // entries fetches them, and asks the next one if nothing arrives in the time that
 // they may take: too early, and copies of the same entries fill a slow link; with
 // the next poll only, and a single lost exchange costs a poll interval. Entries
-// older than a bounded tail of the log are fetched as a snapshot. Visibility
+// older than a bounded tail of the log are fetched as a snapshot, and so are
+// entries that don't fit into one message if the state is smaller. Visibility
 // follows from the responses alone, so any daemon can establish it; the leader
 // usually does so first, because its offers are answered first.
 //
