--- a/io/gateway/unmarked.go
+++ b/io/gateway/unmarked.go
@@ -37,8 +37,8 @@
 }
 
 // recordUnmarked records an answer that ended with its connection. While there is
-// evidence against anything, the replica is checked at once. An answer to which
-// nothing speaks waits for a later sign of life.
+// any evidence, the replica is checked at once. If it has not ended, the answer
+// counts only after a later sign of life.
 func (x *exchange) recordUnmarked(ctx context.Context, failed bool) {
 	if x.g.evidence.some.Load() && x.g.replicaEnded(ctx, x.target) {
 		x.noteEnd(ctx, x.target)
@@ -51,7 +51,7 @@
 	x.g.unmarked.Add(1)
 	time.AfterFunc(signCheckDelay, func() {
 		x.g.settleUnmarked(a)
-		x.g.unmarked.Add(-1)
+		x.g.forgetUnmarked()
 	})
 }
 
@@ -93,6 +93,16 @@
 	g.signs[r.Name] = sign{r.Incarnation, g.Clock()}
 }
 
+// forgetUnmarked ends the wait of one answer, and forgets the signs after the last.
+func (g *Gateway) forgetUnmarked() {
+	if g.unmarked.Add(-1) > 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	clear(g.signs)
+}
+
 // signSince reports whether a replica has given a sign of life since a time.
 func (g *Gateway) signSince(r balance.Replica, since time.Time) bool {
 	g.mu.Lock()
