--- a/cmd/testgate/main.go
+++ b/cmd/testgate/main.go
@@ -52,8 +52,8 @@
 	failedTests             map[string]int
 }
 
-// readKnown returns the "package.Test" names in a file; they stand on lines
-// that start with "test: ".
+// readKnown returns the "package.Test" names in a file; each is the first word of
+// a line that starts with "test: ".
 func readKnown(path string) (map[string]bool, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -61,8 +61,9 @@
 	}
 	known := make(map[string]bool)
 	for _, l := range strings.Split(string(data), "\n") {
-		if name, ok := strings.CutPrefix(l, "test: "); ok {
-			known[strings.TrimSpace(name)] = true
+		if entry, ok := strings.CutPrefix(l, "test: "); ok {
+			name, _, _ := strings.Cut(entry, " ")
+			known[name] = true
 		}
 	}
 	return known, nil
