server: a request is bounded element by element while it arrives

Clients that send heads, lines, chunk sizes, extensions or trailers without end filled the memory of the daemon: 200 to 1134 MiB of 96 with 40 connections.

The library's parser keeps the element that is not complete up to 4 MiB, whatever it is, and the size of a head was judged only once it was complete, without its target. The parser now gets a head only when it is complete and at most 64 KiB long; bodies, chunks and trailers are read by a small state machine that keeps the body alone. A head over the limit is refused with 431 (P118) as soon as it is over it.

A refusal used to cut the answers to earlier requests on the connection; it now follows them. What a refused client goes on sending is discarded up to 8 MiB. Empty lines before a request and trailers without a Trailer header are served.

TestRequestsAtTheLimits and TestRefusalFollowsPendingAnswers failed on the code before.

--- a/core/result/result.go
+++ b/core/result/result.go
@@ -33,6 +33,7 @@
 	DeadlineTooFar    Code = 115
 	RequestIncomplete Code = 116
 	NoRoute           Code = 117
+	HeadTooLarge      Code = 118
 
 	Overloaded       Code = 201
 	DeadlineHopeless Code = 202
--- a/core/result/table.go
+++ b/core/result/table.go
@@ -19,6 +19,7 @@
 	{DeadlineTooFar, "far", "deadline is too far away", "Give a nearer deadline.", 400, true, false},
 	{RequestIncomplete, "incomplete", "request was not sent whole", "Send it again.", 408, true, true},
 	{NoRoute, "noroute", "no route matches the host and path", "Check host and path; check the routing document.", 404, true, false},
+	{HeadTooLarge, "head", "head is too large", "Send fewer or shorter headers.", 431, true, false},
 
 	{Overloaded, "overloaded", "too much work is waiting", "Retry after the time given.", 429, true, true},
 	{DeadlineHopeless, "hopeless", "deadline cannot be met", "Retry after the time given.", 503, true, true},
--- a/io/transport/server/conn.go
+++ b/io/transport/server/conn.go
@@ -15,8 +15,11 @@
 	"papayaspoke/core/result"
 )
 
-// maxHeadBytes is the largest request head in bytes.
-const maxHeadBytes = 64 << 10
+// job is a request that has arrived.
+type job struct {
+	run  func()
+	body []byte
+}
 
 // conn is the server's state of one connection.
 type conn struct {
@@ -25,10 +28,16 @@
 	// newUntil is the time up to which a connection that has not received a
 	// request is expected to receive its first.
 	newUntil time.Time
+	// intake is nil until data arrives. It belongs to the goroutine that reads.
+	intake *intake
+	// discarded counts the bytes that arrived after a refusal. It belongs to the
+	// goroutine that reads.
+	discarded int
 
 	mu sync.Mutex
-	// jobs holds the pending requests; the first one is running.
-	jobs []func()
+	// jobs holds the pending requests; the first one is running. The last one may be
+	// a refusal.
+	jobs []job
 	// cancel cancels the context of the running request; nil if none runs.
 	cancel context.CancelCauseFunc
 	// closed is true once the connection is closed.
@@ -95,24 +104,33 @@
 	}
 	c := v.(*conn)
 	if c.discardsInput() {
+		c.discard(len(data))
 		return
 	}
-	p, ok := nb.Session().(*nbhttp.Parser)
-	if !ok {
-		_ = nb.Close()
-		return
-	}
-	if _, ok := p.Processor.(*processor); !ok {
-		p.Processor = &processor{Processor: p.Processor, conn: c}
-		p.Execute = c.enqueue
-		p.Conn = countingConn{Conn: p.Conn, conn: c}
+	if c.intake == nil {
+		session, ok := nb.Session().(*nbhttp.Parser)
+		if !ok {
+			_ = nb.Close()
+			return
+		}
+		c.intake = newIntake(c, session)
 	}
-	receivedBefore := c.startReceiving(time.Now())
-	if err := p.Parse(data); err != nil {
-		c.refuse(result.New(result.Malformed, "%w", err))
+	before := c.intake.completed
+	if err := c.intake.feed(data); err != nil {
+		c.intake = nil
+		c.refuse(err)
 		return
 	}
-	c.endReceiving(receivedBefore)
+	c.setReceiveTimer(c.intake.completed != before, c.intake.incomplete())
+}
+
+// discard counts the input after a refusal, and closes the connection if it is too
+// much.
+func (c *conn) discard(n int) {
+	c.discarded += n
+	if c.discarded > maxDiscarded {
+		_ = c.nb.Close()
+	}
 }
 
 // discardsInput reports whether further input of the connection is discarded.
@@ -122,31 +140,18 @@
 	return c.refused || c.closed
 }
 
-// startReceiving starts the receive timer if it isn't running, and returns the
-// number of requests received so far.
-func (c *conn) startReceiving(now time.Time) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.timer == nil {
-		c.startTimer(now)
-	}
-	return c.received
-}
-
-// startTimer starts the receive timer; c.mu must be held.
-func (c *conn) startTimer(now time.Time) {
-	c.timer = time.AfterFunc(c.server.opts.ReceiveDeadline(now).Sub(now), c.onReceiveTimeout)
-}
-
-// endReceiving stops the receive timer if a request was completed since
-// startReceiving returned receivedBefore. If the data also holds the start of
-// another request, its timer starts with the next data.
-func (c *conn) endReceiving(receivedBefore int) {
+// setReceiveTimer stops the receive timer if a request was completed, and starts it if
+// another one is incomplete.
+func (c *conn) setReceiveTimer(completed, incomplete bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.received != receivedBefore {
+	if completed {
 		c.stopTimer()
 	}
+	if incomplete && c.timer == nil && !c.closed && !c.refused {
+		now := time.Now()
+		c.timer = time.AfterFunc(c.server.opts.ReceiveDeadline(now).Sub(now), c.onReceiveTimeout)
+	}
 }
 
 // stopTimer stops the receive timer; c.mu must be held.
@@ -157,17 +162,12 @@
 	}
 }
 
-// onReceiveTimeout refuses a request that did not arrive completely in time. While
-// an earlier request is running on the connection, it restarts the timer instead.
+// onReceiveTimeout refuses a request that did not arrive completely in time.
 func (c *conn) onReceiveTimeout() {
 	c.mu.Lock()
 	expired := c.timer != nil && !c.closed
-	running := len(c.jobs) > 0
-	if expired && running {
-		c.startTimer(time.Now())
-	}
 	c.mu.Unlock()
-	if expired && !running {
+	if expired {
 		c.refuse(result.New(result.RequestIncomplete, "request did not arrive completely in time"))
 	}
 }
@@ -175,7 +175,7 @@
 // enqueue queues a request after those that are pending on the connection. If
 // there are too many, the connection is closed: if only one request were dropped,
 // the peer would take the response to the next request for the response to it.
-func (c *conn) enqueue(job func()) bool {
+func (c *conn) enqueue(j job) bool {
 	c.mu.Lock()
 	full := len(c.jobs) >= maxPipelined
 	if c.closed || c.refused || full {
@@ -187,34 +187,41 @@
 		return false
 	}
 	c.received++
-	c.jobs = append(c.jobs, job)
+	c.jobs = append(c.jobs, j)
 	first := len(c.jobs) == 1
 	c.mu.Unlock()
 	if first {
-		go c.runJobs(job)
+		go c.runJobs(j)
 	}
 	return true
 }
 
-// runJobs runs job and the jobs queued after it.
-func (c *conn) runJobs(job func()) {
-	for job != nil {
+// runJobs runs j and the jobs queued after it.
+func (c *conn) runJobs(j job) {
+	for more := true; more; j, more = c.nextJob() {
 		_ = c.nb.SetReadDeadline(time.Time{})
-		job()
-		job = c.nextJob()
+		j.run()
 	}
 	c.setIdleDeadline()
 }
 
-// nextJob removes the job that has run and returns the next one, or nil.
-func (c *conn) nextJob() func() {
+// nextJob removes the job that has run and returns the next one, if there is any.
+func (c *conn) nextJob() (job, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.jobs[0] = job{}
 	c.jobs = c.jobs[1:]
 	if len(c.jobs) == 0 {
-		return nil
+		return job{}, false
 	}
-	return c.jobs[0]
+	return c.jobs[0], true
+}
+
+// takeBody returns the body of the running request.
+func (c *conn) takeBody() []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.jobs[0].body
 }
 
 // setIdleDeadline sets the read deadline of a connection without pending requests.
@@ -238,7 +245,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	expectsFirst := c.received == 0 && time.Now().Before(c.newUntil)
-	return !c.closed && !c.refused && (len(c.jobs) > 0 || c.unsent > 0 || c.timer != nil || expectsFirst)
+	expected := !c.refused && (c.timer != nil || expectsFirst)
+	return !c.closed && (len(c.jobs) > 0 || c.unsent > 0 || expected)
+}
+
+// isClosed reports whether the connection is closed.
+func (c *conn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
 }
 
 // hasPendingWork reports whether a request is queued or running, or a response has
@@ -310,10 +325,9 @@
 	c.mu.Unlock()
 }
 
-// refuse answers a request without calling a handler, discards further input, and
-// closes the connection after the peer has had time to read the response. If an
-// earlier request is still running on the connection, no response can be sent in
-// order, and the connection is closed immediately.
+// refuse answers the request that is arriving without calling a handler, after the
+// requests before it, and discards further input. It closes the connection after the
+// peer has had time to read the response.
 func (c *conn) refuse(err *result.Error) {
 	c.mu.Lock()
 	if c.closed || c.refused {
@@ -322,13 +336,19 @@
 	}
 	c.refused = true
 	c.stopTimer()
-	running := len(c.jobs) > 0
+	pending := len(c.jobs) > 0
+	if pending {
+		c.jobs = append(c.jobs, job{run: func() { c.sendRefusal(err) }})
+	}
 	c.mu.Unlock()
 	c.server.opts.Log.V(1).Info("request refused", "remote", c.nb.RemoteAddr().String(), "error", err.Error())
-	if running {
-		_ = c.nb.Close()
-		return
+	if !pending {
+		c.sendRefusal(err)
 	}
+}
+
+// sendRefusal sends the response to a refused request and closes the connection soon.
+func (c *conn) sendRefusal(err *result.Error) {
 	_, _ = c.nb.Write(encodeRefusal(c.server.opts.Refuse, err))
 	_ = c.nb.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
--- a/io/transport/server/doc.go
+++ b/io/transport/server/doc.go
@@ -1,9 +1,13 @@
 // Package server is an HTTP server built on nbhttp. It serves callers, upstreams,
 // operators and peers.
 //
-// The package uses only the public hooks of the library, and works around four of
+// The package uses only the public hooks of the library, and works around five of
 // its behaviours:
 //
+//   - The library's parser keeps each element of a request that is not complete, up to
+//     the size of the largest body: a line of the head, a body, a chunk. Here it parses
+//     only heads that are complete and not too large; bodies, chunks and trailers are
+//     read by this package. Chunk extensions and trailers are discarded.
 //   - The library delays the close event until the running handler returns. Here
 //     handlers run on a queue per connection instead, so that the request's
 //     context is cancelled as soon as the caller disconnects.
--- /dev/null
+++ b/io/transport/server/intake.go
@@ -0,0 +1,338 @@
+package server
+
+import (
+	"bytes"
+	"net"
+
+	"github.com/lesismal/nbio/nbhttp"
+
+	"papayaspoke/core/result"
+)
+
+const (
+	// maxHeadBytes is the largest request head in bytes, from the method to the
+	// empty line.
+	maxHeadBytes = 64 << 10
+	// maxEmptyLineBytes bounds the empty lines before a request.
+	maxEmptyLineBytes = 1 << 10
+	// maxExtensionBytes bounds the chunk extensions and the trailer section of a
+	// request together. Both are discarded.
+	maxExtensionBytes = 64 << 10
+	// maxChunkDigits bounds the digits of the size of a chunk.
+	maxChunkDigits = 15
+	// minBodyBuffer is the initial size of the buffer for a body that has not arrived
+	// with its head.
+	minBodyBuffer = 4 << 10
+)
+
+// phase is the part of a request that arrives next.
+type phase int
+
+const (
+	head phase = iota
+	body
+	chunkSize
+	chunkExtension
+	chunkData
+	chunkEnd
+	trailer
+)
+
+// intake reads the requests of one connection. The library parses heads; bodies and
+// chunks are read here, since the library would keep each element of a request
+// completely, whatever its size. The intake is used by one goroutine at a time.
+type intake struct {
+	conn      *conn
+	processor *processor
+	// parser parses the head of the current request. It gets no other bytes.
+	parser *nbhttp.Parser
+
+	phase phase
+	// emptyLineBytes counts the bytes before the current request.
+	emptyLineBytes int
+	// head holds the incomplete head.
+	head []byte
+	body []byte
+	// missing is how many bytes of the body or chunk have not arrived.
+	missing int
+	// digits counts the digits of the size of a chunk.
+	digits int
+	// extensionBytes counts what the request has used of maxExtensionBytes.
+	extensionBytes int
+	// lineBytes counts the bytes of the current line of the trailer section.
+	lineBytes int
+	// sawCR is true if the last byte was the CR that ends a line.
+	sawCR bool
+	// completed counts the requests that arrived completely.
+	completed int
+}
+
+func newIntake(c *conn, session *nbhttp.Parser) *intake {
+	in := &intake{conn: c}
+	in.processor = &processor{Processor: nbhttp.NewServerProcessor(), conn: c}
+	in.reset(countingConn{Conn: session.Conn, conn: c}, session.Engine)
+	return in
+}
+
+// reset prepares the intake for the next request.
+func (in *intake) reset(c net.Conn, e *nbhttp.Engine) {
+	*in = intake{conn: in.conn, processor: in.processor, completed: in.completed}
+	in.parser = nbhttp.NewParser(c, e, in.processor, false, in.enqueue)
+}
+
+// enqueue queues the request that has arrived.
+func (in *intake) enqueue(run func()) bool { return in.conn.enqueue(job{run: run, body: in.body}) }
+
+// incomplete reports whether a part of a request has arrived.
+func (in *intake) incomplete() bool {
+	return in.phase != head || len(in.head) > 0 || in.emptyLineBytes > 0
+}
+
+// feed reads the data that has arrived. It returns the error to refuse the request
+// with, and must not be called again then.
+func (in *intake) feed(data []byte) *result.Error {
+	for len(data) > 0 {
+		n, err := in.step(data)
+		if err != nil {
+			return err
+		}
+		data = data[n:]
+		if in.conn.discardsInput() {
+			return nil
+		}
+	}
+	return nil
+}
+
+// step reads a part of data and returns its length.
+func (in *intake) step(data []byte) (int, *result.Error) {
+	switch in.phase {
+	case body:
+		return in.readBody(data)
+	case chunkSize, chunkExtension:
+		return in.readChunkSize(data)
+	case chunkData:
+		return in.readChunkData(data)
+	case chunkEnd:
+		return in.readChunkEnd(data[0])
+	case trailer:
+		return in.readTrailer(data)
+	default:
+		return in.readHead(data)
+	}
+}
+
+var (
+	endOfHead  = []byte("\r\n\r\n")
+	foldedLine = []byte("\r\n ")
+)
+
+// readHead reads a head, and the empty lines that may precede it.
+func (in *intake) readHead(data []byte) (int, *result.Error) {
+	if len(in.head) == 0 && (data[0] == '\r' || data[0] == '\n') {
+		in.emptyLineBytes++
+		if in.emptyLineBytes > maxEmptyLineBytes {
+			return 0, result.New(result.Malformed, "more than %d bytes of empty lines precede the request", maxEmptyLineBytes)
+		}
+		return 1, nil
+	}
+	whole, n := data, 0
+	if len(in.head) == 0 {
+		n = endAfter(data, 0)
+	} else {
+		before := len(in.head)
+		in.head = append(in.head, data[:min(len(data), maxHeadBytes+1-before)]...)
+		whole, n = in.head, endAfter(in.head, max(0, before-len(endOfHead)+1))
+	}
+	if n > maxHeadBytes || n == 0 && len(whole) > maxHeadBytes {
+		return 0, result.New(result.HeadTooLarge, "head is larger than %d bytes", maxHeadBytes)
+	}
+	if n == 0 {
+		if len(in.head) == 0 {
+			in.head = bytes.Clone(data)
+		}
+		return len(data), nil
+	}
+	read := n - (len(whole) - len(data))
+	if len(in.head) == 0 {
+		read = n
+	}
+	return read, in.parseHead(whole[:n])
+}
+
+// endAfter returns the length of b up to the end of the head, which it searches from a
+// position on; 0 if there is none.
+func endAfter(b []byte, from int) int {
+	i := bytes.Index(b[from:], endOfHead)
+	if i < 0 {
+		return 0
+	}
+	return from + i + len(endOfHead)
+}
+
+// parseHead parses a complete head.
+func (in *intake) parseHead(b []byte) *result.Error {
+	if bytes.Contains(b, foldedLine) {
+		return result.New(result.Malformed, "a line of the head begins with a space")
+	}
+	p := in.processor
+	err := in.parser.Parse(b)
+	switch {
+	case err != nil:
+		return result.New(result.Malformed, "%w", err)
+	case p.refusal != nil:
+		return p.refusal
+	case !p.headRead:
+		// The library also returns no error after a panic of its own.
+		return result.New(result.Malformed, "the head ends within a line")
+	}
+	in.head = nil
+	switch {
+	case p.chunked:
+		in.phase = chunkSize
+	case p.length > 0:
+		in.phase, in.missing = body, p.length
+	default:
+		in.finish()
+	}
+	return nil
+}
+
+// finish ends a request. The library has queued one without a body already.
+func (in *intake) finish() {
+	if in.phase != head {
+		in.processor.Processor.OnComplete(in.parser)
+	}
+	in.completed++
+	in.reset(in.parser.Conn, in.parser.Engine)
+}
+
+// readBody reads a body of a known length.
+func (in *intake) readBody(data []byte) (int, *result.Error) {
+	n := min(len(data), in.missing)
+	in.grow(n, len(in.body)+in.missing)
+	in.body = append(in.body, data[:n]...)
+	in.missing -= n
+	if in.missing == 0 {
+		in.finish()
+	}
+	return n, nil
+}
+
+// grow makes room for n more bytes of a body that will have at most most bytes.
+func (in *intake) grow(n, most int) {
+	if len(in.body)+n <= cap(in.body) {
+		return
+	}
+	size := max(len(in.body)+n, min(most, max(minBodyBuffer, 2*cap(in.body))))
+	in.body = append(make([]byte, 0, size), in.body...)
+}
+
+// readChunkSize reads the line before a chunk.
+func (in *intake) readChunkSize(data []byte) (int, *result.Error) {
+	for i, c := range data {
+		if in.sawCR {
+			return i + 1, in.endChunkSize(c)
+		}
+		digit, isDigit := hexValue(c)
+		switch {
+		case c == '\r' && in.digits > 0:
+			in.sawCR = true
+		case in.phase == chunkExtension && c != '\n':
+			if err := in.countExtension(); err != nil {
+				return 0, err
+			}
+		case isDigit && in.phase == chunkSize && in.digits < maxChunkDigits:
+			in.missing = in.missing<<4 | digit
+			in.digits++
+		case (c == ';' || c == ' ' || c == '\t') && in.digits > 0:
+			in.phase = chunkExtension
+		default:
+			return 0, result.New(result.Malformed, "invalid size of a chunk")
+		}
+	}
+	return len(data), nil
+}
+
+func hexValue(c byte) (int, bool) {
+	switch {
+	case '0' <= c && c <= '9':
+		return int(c - '0'), true
+	case 'a' <= c|0x20 && c|0x20 <= 'f':
+		return int(c|0x20-'a') + 10, true
+	}
+	return 0, false
+}
+
+func (in *intake) countExtension() *result.Error {
+	in.extensionBytes++
+	if in.extensionBytes > maxExtensionBytes {
+		return result.New(result.HeadTooLarge, "chunk extensions and trailers are larger than %d bytes", maxExtensionBytes)
+	}
+	return nil
+}
+
+// endChunkSize ends the line before a chunk.
+func (in *intake) endChunkSize(c byte) *result.Error {
+	in.sawCR, in.digits = false, 0
+	if c != '\n' {
+		return result.New(result.Malformed, "invalid end of a line")
+	}
+	if in.missing == 0 {
+		in.phase = trailer
+		return nil
+	}
+	if in.missing > in.conn.server.opts.MaxBody-len(in.body) {
+		return in.processor.tooLarge()
+	}
+	in.phase = chunkData
+	return nil
+}
+
+func (in *intake) readChunkData(data []byte) (int, *result.Error) {
+	n := min(len(data), in.missing)
+	in.grow(n, in.conn.server.opts.MaxBody)
+	in.body = append(in.body, data[:n]...)
+	in.missing -= n
+	if in.missing == 0 {
+		in.phase = chunkEnd
+	}
+	return n, nil
+}
+
+// readChunkEnd reads a byte of the end of line after a chunk.
+func (in *intake) readChunkEnd(c byte) (int, *result.Error) {
+	switch {
+	case c == '\r' && !in.sawCR:
+		in.sawCR = true
+	case c == '\n' && in.sawCR:
+		in.sawCR, in.phase = false, chunkSize
+	default:
+		return 0, result.New(result.Malformed, "a chunk is longer than its size")
+	}
+	return 1, nil
+}
+
+// readTrailer discards the trailer section. The empty line at its end ends the
+// request.
+func (in *intake) readTrailer(data []byte) (int, *result.Error) {
+	for i, c := range data {
+		switch {
+		case in.sawCR && c != '\n', c == '\n' && !in.sawCR:
+			return 0, result.New(result.Malformed, "invalid end of a line")
+		case c == '\r':
+			in.sawCR = true
+		case c == '\n' && in.lineBytes == 0:
+			in.finish()
+			return i + 1, nil
+		case c == '\n':
+			in.sawCR, in.lineBytes = false, 0
+		default:
+			in.lineBytes++
+		}
+		if err := in.countExtension(); err != nil {
+			return 0, err
+		}
+	}
+	return len(data), nil
+}
--- a/io/transport/server/processor.go
+++ b/io/transport/server/processor.go
@@ -9,22 +9,23 @@
 	"papayaspoke/core/result"
 )
 
-// processor refuses requests that are too large or state more than one length, as
-// soon as the head or the offending part of the body has been parsed.
+// processor checks the heads of requests.
 type processor struct {
 	nbhttp.Processor
 	conn *conn
-	// headerBytes counts the bytes of the request's headers.
-	headerBytes int
 	// contentLengths counts the request's Content-Length headers.
 	contentLengths int
+	// length is the stated length of the body; it is not positive if there is none.
+	length int
 	// chunked is true if the request has a Transfer-Encoding.
 	chunked bool
 	// expectsContinue is true if the peer waits for status 100 before it sends
 	// the body.
 	expectsContinue bool
-	// bodyBytes counts the bytes of the request's body received so far.
-	bodyBytes int
+	// headRead is true once the head has been parsed.
+	headRead bool
+	// refusal is why the request is refused; nil if it is not.
+	refusal *result.Error
 }
 
 // OnMethod resets the state for a new request.
@@ -35,7 +36,6 @@
 
 // OnHeader counts headers that state a length and records an Expect header.
 func (p *processor) OnHeader(parser *nbhttp.Parser, key, value string) {
-	p.headerBytes += len(key) + len(value)
 	switch key {
 	case "Content-Length":
 		p.contentLengths++
@@ -50,49 +50,29 @@
 // OnContentLength validates the head after it has been parsed. The length is
 // negative if no Content-Length applies.
 func (p *processor) OnContentLength(parser *nbhttp.Parser, length int) {
+	p.headRead, p.length = true, length
 	switch {
 	case p.contentLengths > 0 && p.chunked:
-		p.refuse(parser, result.New(result.LengthConflict, "both Content-Length and Transfer-Encoding were sent"))
+		p.refusal = result.New(result.LengthConflict, "both Content-Length and Transfer-Encoding were sent")
 	case p.contentLengths > 1:
-		p.refuse(parser, result.New(result.LengthConflict, "Content-Length was sent %d times", p.contentLengths))
+		p.refusal = result.New(result.LengthConflict, "Content-Length was sent %d times", p.contentLengths)
 	case length > p.conn.server.opts.MaxBody:
-		p.refuse(parser, p.tooLarge())
-	case p.headerBytes > maxHeadBytes:
-		p.refuse(parser, result.New(result.TooLarge, "headers are larger than %d bytes", maxHeadBytes))
+		p.refusal = p.tooLarge()
 	case p.expectsContinue && !p.conn.hasPendingWork():
 		_, _ = parser.Conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
 	p.Processor.OnContentLength(parser, length)
 }
 
-// OnBody limits the size of a body, which has no stated length if it is chunked.
-func (p *processor) OnBody(parser *nbhttp.Parser, data []byte) error {
-	p.bodyBytes += len(data)
-	if p.bodyBytes > p.conn.server.opts.MaxBody {
-		err := p.tooLarge()
-		p.refuse(parser, err)
-		return nil
-	}
-	return p.Processor.OnBody(parser, data)
-}
-
 func (p *processor) tooLarge() *result.Error {
 	return result.New(result.TooLarge, "body is larger than %d bytes", p.conn.server.opts.MaxBody)
 }
 
-// refuse answers with err and replaces the parser by one that discards all further
-// input.
-func (p *processor) refuse(parser *nbhttp.Parser, err *result.Error) {
-	p.conn.refuse(err)
-	parser.ParserCloser = discarder{parser: parser}
-}
-
 // OnComplete passes a complete request to the handler.
 func (p *processor) OnComplete(parser *nbhttp.Parser) {
-	if p.conn.discardsInput() {
-		return
+	if p.refusal == nil {
+		p.Processor.OnComplete(parser)
 	}
-	p.Processor.OnComplete(parser)
 }
 
 // serve runs the handler for one complete request.
--- a/io/transport/server/server.go
+++ b/io/transport/server/server.go
@@ -34,6 +34,9 @@
 	// lingerTimeout is how long the input of a refused connection is drained so
 	// that its peer can read the refusal.
 	lingerTimeout = time.Second
+	// maxDiscarded is how many bytes of the input of a refused connection are
+	// drained at most.
+	maxDiscarded = 8 << 20
 	// startupTime is an upper bound on the time until the goroutines of a new
 	// engine run.
 	startupTime = 200 * time.Millisecond
@@ -101,8 +104,6 @@
 		Name:               addr,
 		Network:            "tcp",
 		Addrs:              []string{addr},
-		MaxHTTPBodySize:    s.opts.MaxBody + 1,
-		ReadLimit:          s.opts.MaxBody + maxHeadBytes,
 		MaxWriteBufferSize: maxUnsentBytes,
 		KeepaliveTime:      defaultIdleTimeout,
 		Handler:            http.HandlerFunc(s.serve),
--- a/io/transport/server/writer.go
+++ b/io/transport/server/writer.go
@@ -21,13 +21,6 @@
 // maxBacklog is how many bytes of a response may be unsent before [AwaitRoom] waits.
 const maxBacklog = 256 << 10
 
-// discarder discards the rest of the input of a refused connection.
-type discarder struct{ parser *nbhttp.Parser }
-
-func (d discarder) UnderlayerConn() net.Conn { return d.parser.Conn }
-func (discarder) Parse([]byte) error         { return nil }
-func (discarder) CloseAndClean(error)        {}
-
 // Abort closes the connection of w so that the peer can't mistake the response for a
 // complete one. It must be called before the handler returns.
 func Abort(w http.ResponseWriter) {
@@ -76,7 +69,7 @@
 		r.Close = false
 		res.Header().Set("Connection", "close")
 	}
-	body, _ := io.ReadAll(r.Body)
+	body := c.takeBody()
 	private := r.WithContext(ctx)
 	private.Body = io.NopCloser(bytes.NewReader(body))
 	private.ContentLength = int64(len(body))
@@ -142,7 +135,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.writeHeader(http.StatusOK)
-	if w.done || w.conn.discardsInput() {
+	if w.done || w.conn.isClosed() {
 		return 0, net.ErrClosed
 	}
 	if w.headOnly {
@@ -169,7 +162,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.writeHeader(http.StatusOK)
-	if !w.done && !w.conn.discardsInput() && !w.headOnly {
+	if !w.done && !w.conn.isClosed() && !w.headOnly {
 		w.flush()
 	}
 }
