server: heads that other readers understand otherwise are refused

Clients that nobody controls may hide a request in another one. The library accepts heads that a replica or a proxy may read otherwise: a space before the colon (Content-Length : 2), a length with a sign or none, further spaces in the request line, two Host headers, bare line ends and other control characters in a field, which would be forwarded as they are.

FuzzRequests compares what is served with what net/http reads in the same bytes. Trailers are discarded and not judged.

--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 
 FUZZTIME ?= 30s
 fuzz:
-	for t in platform:FuzzReadConfig platform:FuzzAnnouncement platform:FuzzHeaders io/transport/client:FuzzHead io/gateway:FuzzEvents io/protocol/peer:FuzzUsage io/protocol/peer:FuzzGossip io/settings:FuzzParse; do \
+	for t in platform:FuzzReadConfig platform:FuzzAnnouncement platform:FuzzHeaders io/transport/client:FuzzHead io/gateway:FuzzEvents io/protocol/peer:FuzzUsage io/protocol/peer:FuzzGossip io/settings:FuzzParse io/transport/server:FuzzRequests; do \
 	  $(GO) test -run '^$$' -fuzz "^$${t#*:}$$" -fuzztime $(FUZZTIME) ./$${t%%:*}; done
 
 # CI runs the soak test with one seed and 30 s of faults; here it runs with SEEDS
--- a/io/transport/server/intake.go
+++ b/io/transport/server/intake.go
@@ -123,8 +123,8 @@
 }
 
 var (
-	endOfHead  = []byte("\r\n\r\n")
-	foldedLine = []byte("\r\n ")
+	endOfHead = []byte("\r\n\r\n")
+	endOfLine = []byte("\r\n")
 )
 
 // readHead reads a head, and the empty lines that may precede it.
@@ -172,8 +172,8 @@
 
 // parseHead parses a complete head.
 func (in *intake) parseHead(b []byte) *result.Error {
-	if bytes.Contains(b, foldedLine) {
-		return result.New(result.Malformed, "a line of the head begins with a space")
+	if err := checkLines(b); err != nil {
+		return err
 	}
 	p := in.processor
 	err := in.parser.Parse(b)
@@ -198,6 +198,37 @@
 	return nil
 }
 
+// checkLines refuses heads that the library accepts although other readers understand
+// them otherwise, which lets a request hide in another one: further spaces in the
+// request line, names with a space before the colon, continued lines, and control
+// characters such as a line end without a CR.
+func checkLines(b []byte) *result.Error {
+	for first := true; len(b) > len(endOfLine); first = false {
+		line, rest, _ := bytes.Cut(b, endOfLine)
+		b = rest
+		colon := bytes.IndexByte(line, ':')
+		switch {
+		case hasControl(line):
+			return result.New(result.Malformed, "a line of the head holds a control character")
+		case first && bytes.Count(line, []byte(" ")) != 2:
+			return result.New(result.Malformed, "the request line is not a method, a target and a version")
+		case !first && (colon <= 0 || bytes.IndexByte(line[:colon], ' ') >= 0):
+			return result.New(result.Malformed, "a line of the head has no valid name")
+		}
+	}
+	return nil
+}
+
+// hasControl reports whether b holds a control character other than a tab.
+func hasControl(b []byte) bool {
+	for _, c := range b {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return true
+		}
+	}
+	return false
+}
+
 // finish ends a request. The library has queued one without a body already.
 func (in *intake) finish() {
 	if in.phase != head {
--- a/io/transport/server/intake_test.go
+++ b/io/transport/server/intake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -68,6 +69,15 @@
 		"empty lines over":         {strings.Repeat("\r\n", 600), 400, ""},
 		"folded line":              {"GET / HTTP/1.1\r\nHost: x\r\n X-A: a\r\n\r\n", 400, ""},
 		"no version":               {"GET /\r\n\r\n", 400, ""},
+		"space after the version":  {"GET / HTTP/1.1 \r\n\r\n", 400, ""},
+		"space before the colon":   {"POST / HTTP/1.1\r\nHost: x\r\nContent-Length : 2\r\n\r\nbb", 400, ""},
+		"line end in a field":      {"GET / HTTP/1.1\r\nHost: x\r\nX-A: a\nX-B: b\r\n\r\n", 400, ""},
+		"control in a field":       {"GET / HTTP/1.1\r\nHost: x\r\nX-A: a\x1db\r\n\r\n", 400, ""},
+		"tab in a field":           {"GET / HTTP/1.1\r\nHost: x\r\nX-A: a\tb\r\n\r\n", 200, ""},
+		"two hosts":                {"GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n", 400, ""},
+		"signed length":            {"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: +2\r\n\r\nbb", 400, ""},
+		"empty length":             {"POST / HTTP/1.1\r\nHost: x\r\nContent-Length:\r\n\r\nbb", 400, ""},
+		"length and spaces":        {"POST / HTTP/1.1\r\nHost: x\r\nContent-Length:  2 \r\n\r\nbb", 200, "bb"},
 	}
 	for name, tt := range tests {
 		for _, piece := range []int{len(tt.request), 1000, 7} {
@@ -129,3 +139,55 @@
 	_, err := in.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
 }
+
+// FuzzRequests checks that what is served is what net/http reads in the same bytes: no
+// request is found where another reader sees a part of another one.
+func FuzzRequests(f *testing.F) {
+	for _, s := range []string{
+		"GET /a HTTP/1.1\r\nHost: x\r\n\r\n", "\r\nGET / HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n",
+		"POST /c HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nbbGET /d HTTP/1.1\r\nHost: x\r\n\r\n",
+		chunkedHead + "\r\n2;e\r\nbb\r\n0\r\nX: t\r\n\r\nGET /f HTTP/1.1\r\nHost: x\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: +2\r\n\r\nbb", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length : 2\r\n\r\nbb",
+	} {
+		f.Add([]byte(s), 3)
+	}
+	type request struct{ from, text string }
+	served := make(chan request, 100)
+	s, err := server.Listen("127.0.0.1:0", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		served <- request{r.RemoteAddr, fmt.Sprintf("%s %s %q", r.Method, r.RequestURI, b)}
+	}), server.Options{})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(s.Close)
+	f.Fuzz(func(t *testing.T, input []byte, split int) {
+		c, err := net.Dial("tcp", s.Addr())
+		assert.NilError(t, err)
+		defer func() { _ = c.Close() }()
+		split = min(max(split, 0), len(input))
+		_, _ = c.Write(input[:split])
+		_, _ = c.Write(input[split:])
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Millisecond))
+		_, _ = io.Copy(io.Discard, c)
+		in := bufio.NewReader(bytes.NewReader(input))
+		for len(served) > 0 {
+			got := <-served
+			if got.from != c.LocalAddr().String() {
+				continue
+			}
+			for b, err := in.Peek(1); err == nil && (b[0] == '\r' || b[0] == '\n'); b, err = in.Peek(1) {
+				_, _ = in.Discard(1)
+			}
+			r, err := http.ReadRequest(in)
+			assert.NilError(t, err, "%s", got.text)
+			b, err := io.ReadAll(r.Body)
+			assert.Equal(t, got.text, fmt.Sprintf("%s %s %q", r.Method, r.RequestURI, b))
+			if err != nil && strings.Contains(err.Error(), "MIME header") {
+				return // The server discards trailers without judging their names.
+			}
+			assert.NilError(t, err, "%s", got.text)
+		}
+	})
+}
--- a/io/transport/server/processor.go
+++ b/io/transport/server/processor.go
@@ -13,10 +13,12 @@
 type processor struct {
 	nbhttp.Processor
 	conn *conn
-	// contentLengths counts the request's Content-Length headers.
-	contentLengths int
+	// hosts and contentLengths count the request's Host and Content-Length headers.
+	hosts, contentLengths int
 	// length is the stated length of the body; it is not positive if there is none.
 	length int
+	// invalidLength is true if a Content-Length is not a number of digits.
+	invalidLength bool
 	// chunked is true if the request has a Transfer-Encoding.
 	chunked bool
 	// expectsContinue is true if the peer waits for status 100 before it sends
@@ -34,11 +36,14 @@
 	p.Processor.OnMethod(parser, method)
 }
 
-// OnHeader counts headers that state a length and records an Expect header.
+// OnHeader records the headers that [processor.OnContentLength] judges.
 func (p *processor) OnHeader(parser *nbhttp.Parser, key, value string) {
 	switch key {
+	case "Host":
+		p.hosts++
 	case "Content-Length":
 		p.contentLengths++
+		p.invalidLength = p.invalidLength || !isNumber(strings.TrimSpace(value))
 	case "Transfer-Encoding":
 		p.chunked = true
 	case "Expect":
@@ -47,6 +52,8 @@
 	p.Processor.OnHeader(parser, key, value)
 }
 
+func isNumber(s string) bool { return s != "" && strings.Trim(s, "0123456789") == "" }
+
 // OnContentLength validates the head after it has been parsed. The length is
 // negative if no Content-Length applies.
 func (p *processor) OnContentLength(parser *nbhttp.Parser, length int) {
@@ -56,6 +63,10 @@
 		p.refusal = result.New(result.LengthConflict, "both Content-Length and Transfer-Encoding were sent")
 	case p.contentLengths > 1:
 		p.refusal = result.New(result.LengthConflict, "Content-Length was sent %d times", p.contentLengths)
+	case p.hosts > 1:
+		p.refusal = result.New(result.Malformed, "Host was sent %d times", p.hosts)
+	case p.invalidLength:
+		p.refusal = result.New(result.Malformed, "Content-Length is not a number")
 	case length > p.conn.server.opts.MaxBody:
 		p.refusal = p.tooLarge()
 	case p.expectsContinue && !p.conn.hasPendingWork():
