server: a budget for what requests hold

Clients that stop short of the end of many bodies, or send many whole ones behind each other, filled the memory of the daemon: 127 to 1478 MiB of 96 with 12 to 120 connections. Nothing bounded requests together, a body was held several times (the library's buffers, the copy for the handler, the copy of the platform), and the listeners for control and daemons take 16 and 256 MiB a request.

Requests of clients share a budget of a sixth of the process's memory; those of daemons, replicas and operators have one of an eighth, so that clients can't crowd them out. A request is counted from its first kept byte until its handler has returned, by the capacity of its one buffer and by the copies and fields of its head. Without room the largest request that has not arrived whole gives way and is answered 503 (P217, not run, when to come back); a quarter of the budget is left to requests of up to 64 KiB. A body that cannot have room is refused at its head. What has arrived whole is not given up. The budget is the one that incomplete answers have had, moved to io/transport/memory.

--- a/core/result/result.go
+++ b/core/result/result.go
@@ -51,6 +51,7 @@
 	Superseded       Code = 214
 	NoRouting        Code = 215
 	Suspended        Code = 216
+	OutOfMemory      Code = 217
 
 	Unknown        Code = 301
 	StillRunning   Code = 302
--- a/core/result/table.go
+++ b/core/result/table.go
@@ -37,6 +37,7 @@
 	{Superseded, "superseded", "another copy with this key was told not run", "Send it again with the same key if the work is still wanted.", 503, true, true},
 	{NoRouting, "norouting", "no routing document is known yet", "Retry; use another of the addresses given.", 503, true, true},
 	{Suspended, "suspended", "upstreams have crashed under such requests", "Retry after the time given; if it lasts, tell the operators.", 503, true, true},
+	{OutOfMemory, "memory", "requests take too much memory", "Retry after the time given.", 503, true, true},
 
 	{Unknown, "unknown", "outcome is unknown", "Do not assume either; look at the service's own record.", 502, false, false},
 	{StillRunning, "running", "same key is still running", "Ask again with the same key.", 409, false, true},
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"papayaspoke/io/settings"
 	"papayaspoke/io/transport/client"
 	"papayaspoke/io/transport/disk"
+	"papayaspoke/io/transport/memory"
 	"papayaspoke/io/transport/server"
 )
 
@@ -61,7 +62,11 @@
 	writer      *disk.Writer
 
 	// responses limits the memory for incomplete responses of upstreams.
-	responses *client.Memory
+	responses *memory.Budget
+	// clientRequests limits the memory for requests of clients and callers,
+	// controlRequests that for requests of other daemons, replicas and operators, which
+	// clients must not crowd out.
+	clientRequests, controlRequests *memory.Budget
 
 	callerServer, operatorServer, peerServer *server.Server
 	// metricsServer serves metrics without a token. It is nil unless the
@@ -89,7 +94,9 @@
 		metrics: scrape.New(map[string]string{"daemon": string(s.Name())}),
 	}
 	d.view.Store(&view{state: state.New().View()})
-	d.responses = client.NewMemory(responseMemory(s))
+	d.responses = memory.NewBudget(memoryShare(s, responseShare, memory.DefaultLimit))
+	d.clientRequests = memory.NewReservedBudget(memoryShare(s, clientShare, memory.DefaultLimit))
+	d.controlRequests = memory.NewReservedBudget(memoryShare(s, controlShare, 2*maxPeerBody))
 	conns := client.NewFrom(s.Peer().Addr()).WithMemory(d.responses)
 	d.conns = conns
 	d.upstreams = upstream.NewClient(conns)
@@ -122,15 +129,21 @@
 	return d, nil
 }
 
-// responseShare divides the memory of the process for incomplete responses.
-const responseShare = 8
+// Each of these divides the memory of the process for one purpose: incomplete responses,
+// requests of clients, and requests of daemons, replicas and operators.
+const (
+	responseShare = 8
+	clientShare   = 6
+	controlShare  = 8
+)
 
-// responseMemory returns the limit for incomplete responses in bytes.
-func responseMemory(s settings.Settings) int {
+// memoryShare returns a share of the memory of the process in bytes, or fallback if the
+// settings do not limit it.
+func memoryShare(s settings.Settings, share, fallback int) int {
 	if m := s.Platform().MemoryLimitMiB(); m > 0 {
-		return m << 20 / responseShare
+		return m << 20 / share
 	}
-	return client.DefaultMemory
+	return fallback
 }
 
 // newIncarnation returns a number that increases from one run of a daemon to
@@ -260,7 +273,7 @@
 }
 
 func (d *Daemon) listen() error {
-	opts := server.Options{Log: d.log, Refuse: wire.Refuse}
+	opts := server.Options{Log: d.log, Refuse: wire.Refuse, Memory: d.clientRequests}
 	var err error
 	callerHandler := &caller.Handler{Infer: d.meteredInfer, Call: d.meteredCall, Addresses: d.addresses}
 	if d.callerServer, err = server.Listen(d.settings.Caller().String(), d.withUpstreams(callerHandler), opts); err != nil {
@@ -270,6 +283,7 @@
 		Token: d.settings.Token(), Change: d.change, List: d.list, Dump: d.dump,
 		Recover: d.recover, Metrics: d.metrics.Handler(),
 	}
+	opts.Memory = d.controlRequests
 	if d.operatorServer, err = server.Listen(d.settings.Operator().String(), admin, opts); err != nil {
 		return err
 	}
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -115,9 +115,13 @@
 // Settings returns the settings of the platform.
 func (p *Platform) Settings() settings.Platform { return p.d.settings.Platform() }
 
-// Listen serves h on an address until the platform is shut down.
-func (p *Platform) Listen(addr string, h http.Handler, o server.Options) error {
-	o.Log = p.d.log
+// Listen serves h on an address until the platform is shut down. The requests use the
+// memory for clients, or that for replicas and operators if control is true.
+func (p *Platform) Listen(addr string, control bool, h http.Handler, o server.Options) error {
+	o.Log, o.Memory = p.d.log, p.d.clientRequests
+	if control {
+		o.Memory = p.d.controlRequests
+	}
 	s, err := server.Listen(addr, h, o)
 	if err != nil {
 		return err
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -15,6 +15,7 @@
 	"papayaspoke/core/coordination/balance"
 	"papayaspoke/core/result"
 	"papayaspoke/io/transport/client"
+	"papayaspoke/io/transport/memory"
 	"papayaspoke/io/transport/server"
 )
 
@@ -187,7 +188,7 @@
 	switch {
 	case errors.Is(err, errUnresponsive), errors.Is(err, errTrickling):
 		return EndedByGateway
-	case errors.Is(err, errNotConsecutive), errors.Is(err, errEventTooLarge), errors.Is(err, errUnnumbered), errors.Is(err, client.ErrNoMemory):
+	case errors.Is(err, errNotConsecutive), errors.Is(err, errEventTooLarge), errors.Is(err, errUnnumbered), errors.Is(err, memory.ErrFull):
 		return EndedByInvalidEvent
 	case errors.Is(err, syscall.ECONNRESET):
 		return EndedByReset
--- a/io/protocol/upstream/stream.go
+++ b/io/protocol/upstream/stream.go
@@ -12,6 +12,7 @@
 	"papayaspoke/core/result"
 	"papayaspoke/io/protocol/wire"
 	"papayaspoke/io/transport/client"
+	"papayaspoke/io/transport/memory"
 )
 
 const (
@@ -101,7 +102,7 @@
 // cutError if the connection failed, or else an error with a result code.
 func (s *Stream) readLine() (string, error) {
 	raw, err := wire.ReadLine(s.lines, maxLineBytes, s.answer.Hold)
-	if errors.Is(err, wire.ErrLineTooLong) || errors.Is(err, client.ErrNoMemory) {
+	if errors.Is(err, wire.ErrLineTooLong) || errors.Is(err, memory.ErrFull) {
 		return "", result.New(result.WrongAnswer, "%w", err)
 	}
 	if err != nil {
--- a/io/transport/client/body.go
+++ b/io/transport/client/body.go
@@ -7,12 +7,22 @@
 	"io"
 	"sync"
 	"time"
+
+	"papayaspoke/io/transport/memory"
 )
 
+// smallResponse is how many bytes of a response aren't counted.
+const smallResponse = 16 << 10
+
 // Hold states how many bytes of the response are kept in memory. It fails with
-// [ErrNoMemory] if that is too much beside all other responses. Closing the body
+// [memory.ErrFull] if that is too much beside all other responses. Closing the body
 // releases them.
-func (a *Answer) Hold(size int) error { return a.body.hold.set(size) }
+func (a *Answer) Hold(size int) error {
+	if size <= smallResponse {
+		size = 0
+	}
+	return a.body.hold.Resize(size)
+}
 
 // minReadBuffer is the initial size of the buffer for a body.
 const minReadBuffer = 1 << 10
@@ -73,7 +83,7 @@
 	cancel       context.CancelCauseFunc
 	ctx          context.Context
 	idleDeadline func(now time.Time) time.Time
-	hold         *hold
+	hold         *memory.Hold
 }
 
 func (b *body) Read(p []byte) (int, error) {
@@ -83,8 +93,8 @@
 	}
 	n, err := b.inner.Read(p)
 	if err != nil && err != io.EOF {
-		if b.hold.isLost() {
-			return n, ErrNoMemory
+		if b.hold.Lost() {
+			return n, memory.ErrFull
 		}
 		if cause := context.Cause(b.ctx); cause != nil {
 			err = fmt.Errorf("%w: %w", cause, err)
@@ -95,7 +105,7 @@
 
 func (b *body) Close() error {
 	b.watchdog.stop()
-	b.hold.release()
+	b.hold.Release()
 	b.cancel(nil)
 	return b.inner.Close()
 }
--- a/io/transport/client/client.go
+++ b/io/transport/client/client.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"papayaspoke/io/transport/memory"
 )
 
 const (
@@ -41,7 +43,7 @@
 	pooled transport
 	// fresh makes a new connection for each request.
 	fresh  transport
-	memory *Memory
+	memory *memory.Budget
 }
 
 // limits are the timeouts in which kinds of clients differ.
@@ -76,11 +78,11 @@
 	if local.IsValid() {
 		localAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))
 	}
-	return &Client{pooled: newTransport(localAddr, l, false), fresh: newTransport(localAddr, l, true), memory: NewMemory(DefaultMemory)}
+	return &Client{pooled: newTransport(localAddr, l, false), fresh: newTransport(localAddr, l, true), memory: memory.NewBudget(memory.DefaultLimit)}
 }
 
 // WithMemory returns a client with the same connections whose responses share m.
-func (c *Client) WithMemory(m *Memory) *Client {
+func (c *Client) WithMemory(m *memory.Budget) *Client {
 	return &Client{pooled: c.pooled, fresh: c.fresh, memory: m}
 }
 
@@ -324,7 +326,7 @@
 	}
 	b := &body{inner: resp.Body, watchdog: watch, cancel: cancel, ctx: ctx}
 	answer := &Answer{status: resp.StatusCode, header: resp.Header, body: b, reused: reused.Load()}
-	b.hold = &hold{memory: c.memory, giveUp: answer.Discard}
+	b.hold = c.memory.Hold(answer.Discard)
 	answer.endMarked = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	if c := conn.Load(); c != nil {
 		answer.conn = *c
--- a/io/transport/client/memory_test.go
+++ b/io/transport/client/memory_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"papayaspoke/io/transport/client"
+	"papayaspoke/io/transport/memory"
 	"papayaspoke/io/transport/server"
 )
 
@@ -35,7 +36,7 @@
 	}), server.Options{})
 	assert.NilError(t, err)
 	t.Cleanup(s.Close)
-	c := client.New().WithMemory(client.NewMemory(limit))
+	c := client.New().WithMemory(memory.NewBudget(limit))
 	get := func(path string) ([]byte, error) {
 		a, err := c.Send(t.Context(), client.Exchange{Method: http.MethodGet, URL: "http://" + s.Addr() + path, Idempotent: true})
 		assert.NilError(t, err)
@@ -46,7 +47,7 @@
 	wg.Go(func() {
 		_, err := get("/endless")
 		assert.Check(t, err != nil)
-		assert.ErrorIs(t, err, client.ErrNoMemory)
+		assert.ErrorIs(t, err, memory.ErrFull)
 	})
 	for range sound {
 		wg.Go(func() {
--- a/io/transport/server/conn.go
+++ b/io/transport/server/conn.go
@@ -13,12 +13,22 @@
 	"github.com/lesismal/nbio/nbhttp"
 
 	"papayaspoke/core/result"
+	"papayaspoke/io/transport/memory"
 )
 
 // job is a request that has arrived.
 type job struct {
 	run  func()
 	body []byte
+	// hold is what the request holds; nil for a refusal.
+	hold *memory.Hold
+}
+
+// release returns what the request holds.
+func (j job) release() {
+	if j.hold != nil {
+		j.hold.Release()
+	}
 }
 
 // conn is the server's state of one connection.
@@ -28,10 +38,12 @@
 	// newUntil is the time up to which a connection that has not received a
 	// request is expected to receive its first.
 	newUntil time.Time
-	// intake is nil until data arrives. It belongs to the goroutine that reads.
+
+	// reading guards intake and discarded. It is locked before mu.
+	reading sync.Mutex
+	// intake is nil until data arrives, and after a refusal.
 	intake *intake
-	// discarded counts the bytes that arrived after a refusal. It belongs to the
-	// goroutine that reads.
+	// discarded counts the bytes that arrived after a refusal.
 	discarded int
 
 	mu sync.Mutex
@@ -103,6 +115,8 @@
 		return
 	}
 	c := v.(*conn)
+	c.reading.Lock()
+	defer c.reading.Unlock()
 	if c.discardsInput() {
 		c.discard(len(data))
 		return
@@ -117,13 +131,38 @@
 	}
 	before := c.intake.completed
 	if err := c.intake.feed(data); err != nil {
-		c.intake = nil
+		c.dropIntake()
 		c.refuse(err)
 		return
 	}
+	if c.discardsInput() {
+		c.dropIntake()
+		return
+	}
 	c.setReceiveTimer(c.intake.completed != before, c.intake.incomplete())
 }
 
+// dropIntake frees what has arrived of an incomplete request; c.reading must be held.
+func (c *conn) dropIntake() {
+	if c.intake != nil && c.intake.hold != nil {
+		c.intake.hold.Release()
+	}
+	c.intake = nil
+}
+
+// giveUp frees what has arrived of an incomplete request and refuses it.
+func (c *conn) giveUp(err *result.Error) {
+	c.reading.Lock()
+	c.dropIntake()
+	c.reading.Unlock()
+	c.refuse(err)
+}
+
+// outOfMemory is the refusal of a request for which there is no memory.
+func outOfMemory(now time.Time) *result.Error {
+	return result.New(result.OutOfMemory, "no memory for the request").WithRetryAfter(now.Add(memoryRetryAfter))
+}
+
 // discard counts the input after a refusal, and closes the connection if it is too
 // much.
 func (c *conn) discard(n int) {
@@ -168,7 +207,7 @@
 	expired := c.timer != nil && !c.closed
 	c.mu.Unlock()
 	if expired {
-		c.refuse(result.New(result.RequestIncomplete, "request did not arrive completely in time"))
+		c.giveUp(result.New(result.RequestIncomplete, "request did not arrive completely in time"))
 	}
 }
 
@@ -201,6 +240,7 @@
 	for more := true; more; j, more = c.nextJob() {
 		_ = c.nb.SetReadDeadline(time.Time{})
 		j.run()
+		j.release()
 	}
 	c.setIdleDeadline()
 }
@@ -265,6 +305,9 @@
 }
 
 func (c *conn) close() {
+	c.reading.Lock()
+	c.dropIntake()
+	c.reading.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
--- a/io/transport/server/doc.go
+++ b/io/transport/server/doc.go
@@ -7,7 +7,8 @@
 //   - The library's parser keeps each element of a request that is not complete, up to
 //     the size of the largest body: a line of the head, a body, a chunk. Here it parses
 //     only heads that are complete and not too large; bodies, chunks and trailers are
-//     read by this package. Chunk extensions and trailers are discarded.
+//     read by this package. Chunk extensions and trailers are discarded. What requests
+//     hold until their handlers return is limited by a budget.
 //   - The library delays the close event until the running handler returns. Here
 //     handlers run on a queue per connection instead, so that the request's
 //     context is cancelled as soon as the caller disconnects.
--- a/io/transport/server/intake.go
+++ b/io/transport/server/intake.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"net"
+	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
 
 	"papayaspoke/core/result"
+	"papayaspoke/io/transport/memory"
 )
 
 const (
@@ -20,6 +22,10 @@
 	maxExtensionBytes = 64 << 10
 	// maxChunkDigits bounds the digits of the size of a chunk.
 	maxChunkDigits = 15
+	// copiesOfHead and bytesPerField are what a parsed head holds, until its request has
+	// been forwarded: copies of its bytes, and bytes for each of its fields.
+	copiesOfHead  = 2
+	bytesPerField = 256
 	// minBodyBuffer is the initial size of the buffer for a body that has not arrived
 	// with its head.
 	minBodyBuffer = 4 << 10
@@ -63,6 +69,10 @@
 	lineBytes int
 	// sawCR is true if the last byte was the CR that ends a line.
 	sawCR bool
+	// hold is what the current request holds; nil if nothing of it was kept.
+	hold *memory.Hold
+	// headCost is what the parsed head of the current request holds.
+	headCost int
 	// completed counts the requests that arrived completely.
 	completed int
 }
@@ -80,8 +90,32 @@
 	in.parser = nbhttp.NewParser(c, e, in.processor, false, in.enqueue)
 }
 
-// enqueue queues the request that has arrived.
-func (in *intake) enqueue(run func()) bool { return in.conn.enqueue(job{run: run, body: in.body}) }
+// enqueue queues the request that has arrived. What it holds is given up no more.
+func (in *intake) enqueue(run func()) bool {
+	if in.hold.Keep() != nil {
+		in.conn.refuse(outOfMemory(time.Now()))
+		return false
+	}
+	hold := in.hold
+	in.hold = nil
+	if !in.conn.enqueue(job{run: run, body: in.body, hold: hold}) {
+		hold.Release()
+		return false
+	}
+	return true
+}
+
+// keep states how many bytes of the current request are kept in memory.
+func (in *intake) keep(size int) *result.Error {
+	if in.hold == nil {
+		c := in.conn
+		in.hold = c.server.opts.Memory.Hold(func() { c.giveUp(outOfMemory(time.Now())) })
+	}
+	if in.hold.Resize(size) != nil {
+		return outOfMemory(time.Now())
+	}
+	return nil
+}
 
 // incomplete reports whether a part of a request has arrived.
 func (in *intake) incomplete() bool {
@@ -142,6 +176,9 @@
 	} else {
 		before := len(in.head)
 		in.head = append(in.head, data[:min(len(data), maxHeadBytes+1-before)]...)
+		if err := in.keep(cap(in.head)); err != nil {
+			return 0, err
+		}
 		whole, n = in.head, endAfter(in.head, max(0, before-len(endOfHead)+1))
 	}
 	if n > maxHeadBytes || n == 0 && len(whole) > maxHeadBytes {
@@ -151,7 +188,7 @@
 		if len(in.head) == 0 {
 			in.head = bytes.Clone(data)
 		}
-		return len(data), nil
+		return len(data), in.keep(cap(in.head))
 	}
 	read := n - (len(whole) - len(data))
 	if len(in.head) == 0 {
@@ -172,9 +209,19 @@
 
 // parseHead parses a complete head.
 func (in *intake) parseHead(b []byte) *result.Error {
-	if err := checkLines(b); err != nil {
+	fields, err := checkLines(b)
+	if err != nil {
 		return err
 	}
+	in.headCost = copiesOfHead*len(b) + fields*bytesPerField
+	if err := in.keep(in.headCost); err != nil {
+		return err
+	}
+	return in.parseChecked(b)
+}
+
+// parseChecked parses a complete head whose lines are valid.
+func (in *intake) parseChecked(b []byte) *result.Error {
 	p := in.processor
 	err := in.parser.Parse(b)
 	switch {
@@ -202,21 +249,25 @@
 // them otherwise, which lets a request hide in another one: further spaces in the
 // request line, names with a space before the colon, continued lines, and control
 // characters such as a line end without a CR.
-func checkLines(b []byte) *result.Error {
+//
+// checkLines returns the number of fields.
+func checkLines(b []byte) (int, *result.Error) {
+	fields := -1
 	for first := true; len(b) > len(endOfLine); first = false {
 		line, rest, _ := bytes.Cut(b, endOfLine)
 		b = rest
 		colon := bytes.IndexByte(line, ':')
 		switch {
 		case hasControl(line):
-			return result.New(result.Malformed, "a line of the head holds a control character")
+			return 0, result.New(result.Malformed, "a line of the head holds a control character")
 		case first && bytes.Count(line, []byte(" ")) != 2:
-			return result.New(result.Malformed, "the request line is not a method, a target and a version")
+			return 0, result.New(result.Malformed, "the request line is not a method, a target and a version")
 		case !first && (colon <= 0 || bytes.IndexByte(line[:colon], ' ') >= 0):
-			return result.New(result.Malformed, "a line of the head has no valid name")
+			return 0, result.New(result.Malformed, "a line of the head has no valid name")
 		}
+		fields++
 	}
-	return nil
+	return fields, nil
 }
 
 // hasControl reports whether b holds a control character other than a tab.
@@ -241,7 +292,9 @@
 // readBody reads a body of a known length.
 func (in *intake) readBody(data []byte) (int, *result.Error) {
 	n := min(len(data), in.missing)
-	in.grow(n, len(in.body)+in.missing)
+	if err := in.grow(n, len(in.body)+in.missing); err != nil {
+		return 0, err
+	}
 	in.body = append(in.body, data[:n]...)
 	in.missing -= n
 	if in.missing == 0 {
@@ -251,12 +304,16 @@
 }
 
 // grow makes room for n more bytes of a body that will have at most most bytes.
-func (in *intake) grow(n, most int) {
+func (in *intake) grow(n, most int) *result.Error {
 	if len(in.body)+n <= cap(in.body) {
-		return
+		return nil
 	}
 	size := max(len(in.body)+n, min(most, max(minBodyBuffer, 2*cap(in.body))))
+	if err := in.keep(in.headCost + size); err != nil {
+		return err
+	}
 	in.body = append(make([]byte, 0, size), in.body...)
+	return nil
 }
 
 // readChunkSize reads the line before a chunk.
@@ -322,7 +379,9 @@
 
 func (in *intake) readChunkData(data []byte) (int, *result.Error) {
 	n := min(len(data), in.missing)
-	in.grow(n, in.conn.server.opts.MaxBody)
+	if err := in.grow(n, in.conn.server.opts.MaxBody); err != nil {
+		return 0, err
+	}
 	in.body = append(in.body, data[:n]...)
 	in.missing -= n
 	if in.missing == 0 {
--- a/io/transport/server/processor.go
+++ b/io/transport/server/processor.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
 
@@ -69,6 +70,8 @@
 		p.refusal = result.New(result.Malformed, "Content-Length is not a number")
 	case length > p.conn.server.opts.MaxBody:
 		p.refusal = p.tooLarge()
+	case !p.conn.server.opts.Memory.Fits(p.conn.intake.headCost + max(length, 0)):
+		p.refusal = outOfMemory(time.Now())
 	case p.expectsContinue && !p.conn.hasPendingWork():
 		_, _ = parser.Conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
--- a/io/transport/server/server.go
+++ b/io/transport/server/server.go
@@ -17,6 +17,7 @@
 	"github.com/lesismal/nbio/nbhttp"
 
 	"papayaspoke/core/result"
+	"papayaspoke/io/transport/memory"
 )
 
 const (
@@ -34,6 +35,9 @@
 	// lingerTimeout is how long the input of a refused connection is drained so
 	// that its peer can read the refusal.
 	lingerTimeout = time.Second
+	// memoryRetryAfter is when a client may send a request again for which there was no
+	// memory.
+	memoryRetryAfter = 500 * time.Millisecond
 	// maxDiscarded is how many bytes of the input of a refused connection are
 	// drained at most.
 	maxDiscarded = 8 << 20
@@ -64,6 +68,9 @@
 	// MaxBody is the largest request body in bytes; zero means
 	// [DefaultMaxBody].
 	MaxBody int
+	// Memory limits what requests hold until their handlers return. If nil, the server
+	// has a budget of [memory.DefaultLimit] of its own.
+	Memory *memory.Budget
 	// Log receives panics of handlers and refused requests.
 	Log logr.Logger
 	// Refuse writes the response for an error that is found before a handler
@@ -126,6 +133,9 @@
 	if o.MaxBody <= 0 {
 		o.MaxBody = DefaultMaxBody
 	}
+	if o.Memory == nil {
+		o.Memory = memory.NewReservedBudget(memory.DefaultLimit)
+	}
 	if o.Log.GetSink() == nil {
 		o.Log = logr.Discard()
 	}
--- a/io/transport/server/writer.go
+++ b/io/transport/server/writer.go
@@ -71,7 +71,7 @@
 	}
 	body := c.takeBody()
 	private := r.WithContext(ctx)
-	private.Body = io.NopCloser(bytes.NewReader(body))
+	private.Body = &requestBody{Reader: bytes.NewReader(body), data: body}
 	private.ContentLength = int64(len(body))
 	defer func() {
 		if v := recover(); v != nil {
@@ -81,6 +81,23 @@
 	c.server.handler.ServeHTTP(w, private)
 }
 
+// requestBody is the body of a request that has arrived completely.
+type requestBody struct {
+	*bytes.Reader
+	data []byte
+}
+
+func (*requestBody) Close() error { return nil }
+
+// Body returns the body of a request. That of a request from a [Server] is not copied;
+// it must not be changed.
+func Body(r *http.Request) ([]byte, error) {
+	if b, ok := r.Body.(*requestBody); ok {
+		return b.data, nil
+	}
+	return io.ReadAll(r.Body)
+}
+
 // writer is the response writer passed to handlers.
 type writer struct {
 	res  *nbhttp.Response
