server: connections of clients can't take all descriptors

512 connections that stay open kept a daemon with 256 descriptors from answering anybody: nothing limited them, so that no ordinary connection was accepted, and the daemon's own connections failed with them (the other daemons suspected it). The library's accept loop spins while there are no descriptors.

Connections of clients may take half of the descriptors, those of daemons, replicas and operators a quarter. At the limit the connection that has waited longest for its peer is closed for a new one: since its last answer, or since the first byte of a request that has not arrived whole, so that sending byte by byte does not help. One with a request in flight is never closed; if all have one, the new one is. The limit is taken from the kernel and from the new setting platform.files. After a shortage the listener pauses and goes on.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -1,13 +1,16 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
+	"math"
 	"math/big"
 	mathrand "math/rand/v2"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"papayaspoke/core/coordination/appoint"
@@ -67,6 +70,8 @@
 	// controlRequests that for requests of other daemons, replicas and operators, which
 	// clients must not crowd out.
 	clientRequests, controlRequests *memory.Budget
+	// clientConns and controlConns limit the connections of the same.
+	clientConns, controlConns *server.ConnLimit
 
 	callerServer, operatorServer, peerServer *server.Server
 	// metricsServer serves metrics without a token. It is nil unless the
@@ -97,6 +102,9 @@
 	d.responses = memory.NewBudget(memoryShare(s, responseShare, memory.DefaultLimit))
 	d.clientRequests = memory.NewReservedBudget(memoryShare(s, clientShare, memory.DefaultLimit))
 	d.controlRequests = memory.NewReservedBudget(memoryShare(s, controlShare, 2*maxPeerBody))
+	descriptors := maxDescriptors(s)
+	d.clientConns = server.NewConnLimit(descriptors / clientConnShare)
+	d.controlConns = server.NewConnLimit(descriptors / controlConnShare)
 	conns := client.NewFrom(s.Peer().Addr()).WithMemory(d.responses)
 	d.conns = conns
 	d.upstreams = upstream.NewClient(conns)
@@ -137,6 +145,31 @@
 	controlShare  = 8
 )
 
+// Each of these divides the descriptors of the process for connections from clients, and
+// from daemons, replicas and operators. The rest is left for connections of its own and
+// files.
+const (
+	clientConnShare  = 2
+	controlConnShare = 4
+)
+
+// maxDescriptors returns how many descriptors the process may use.
+func maxDescriptors(s settings.Settings) int {
+	n := s.Platform().MaxDescriptors()
+	var r syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r); err != nil {
+		return cmp.Or(n, defaultDescriptors)
+	}
+	limit := int(min(r.Cur, math.MaxInt32))
+	if n == 0 {
+		return limit
+	}
+	return min(n, limit)
+}
+
+// defaultDescriptors is the number of descriptors if the kernel does not tell it.
+const defaultDescriptors = 1024
+
 // memoryShare returns a share of the memory of the process in bytes, or fallback if the
 // settings do not limit it.
 func memoryShare(s settings.Settings, share, fallback int) int {
@@ -273,7 +306,7 @@
 }
 
 func (d *Daemon) listen() error {
-	opts := server.Options{Log: d.log, Refuse: wire.Refuse, Memory: d.clientRequests}
+	opts := server.Options{Log: d.log, Refuse: wire.Refuse, Memory: d.clientRequests, Connections: d.clientConns}
 	var err error
 	callerHandler := &caller.Handler{Infer: d.meteredInfer, Call: d.meteredCall, Addresses: d.addresses}
 	if d.callerServer, err = server.Listen(d.settings.Caller().String(), d.withUpstreams(callerHandler), opts); err != nil {
@@ -283,7 +316,7 @@
 		Token: d.settings.Token(), Change: d.change, List: d.list, Dump: d.dump,
 		Recover: d.recover, Metrics: d.metrics.Handler(),
 	}
-	opts.Memory = d.controlRequests
+	opts.Memory, opts.Connections = d.controlRequests, d.controlConns
 	if d.operatorServer, err = server.Listen(d.settings.Operator().String(), admin, opts); err != nil {
 		return err
 	}
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -118,9 +118,9 @@
 // Listen serves h on an address until the platform is shut down. The requests use the
 // memory for clients, or that for replicas and operators if control is true.
 func (p *Platform) Listen(addr string, control bool, h http.Handler, o server.Options) error {
-	o.Log, o.Memory = p.d.log, p.d.clientRequests
+	o.Log, o.Memory, o.Connections = p.d.log, p.d.clientRequests, p.d.clientConns
 	if control {
-		o.Memory = p.d.controlRequests
+		o.Memory, o.Connections = p.d.controlRequests, p.d.controlConns
 	}
 	s, err := server.Listen(addr, h, o)
 	if err != nil {
--- a/io/settings/platform.go
+++ b/io/settings/platform.go
@@ -16,6 +16,7 @@
 	retryAllowance                       balance.RetryBudget
 	directoryTTL                         time.Duration
 	memoryLimitMiB                       int
+	maxDescriptors                       int
 	cores                                float64
 	coalesceDelay                        time.Duration
 }
@@ -55,6 +56,10 @@
 // MemoryLimitMiB returns the memory limit of the process in MiB, or 0 if none is set.
 func (p Platform) MemoryLimitMiB() int { return p.memoryLimitMiB }
 
+// MaxDescriptors returns how many descriptors the process may use, or 0 if no number is
+// set.
+func (p Platform) MaxDescriptors() int { return p.maxDescriptors }
+
 // Cores returns how many processor cores the process may use, or 0 if no number is
 // set.
 func (p Platform) Cores() float64 { return p.cores }
@@ -72,6 +77,7 @@
 	Share     float64 `toml:"share"`
 	Extra     float64 `toml:"extra"`
 	Memory    int     `toml:"memory"`
+	Files     int     `toml:"files"`
 	Power     float64 `toml:"power"`
 	// Pass is the number of seconds within which a chunk of a stream must reach
 	// the client after it was generated, or 0 if the platform sets no bound.
@@ -106,6 +112,7 @@
 		competingPlacerWindow: c.seconds("platform.rival", t.Rival, defaultCompetingPlacerWindow),
 		directoryTTL:          c.seconds("platform.keep", t.Keep, defaultDirectoryTTL),
 		memoryLimitMiB:        t.Memory,
+		maxDescriptors:        t.Files,
 		cores:                 t.Power,
 	}
 	p.retryAllowance = balance.RetryBudget{
@@ -123,6 +130,9 @@
 	if t.Memory < 0 {
 		c.addf("platform.memory", "platform.memory %d is negative", t.Memory)
 	}
+	if t.Files < 0 {
+		c.addf("platform.files", "platform.files %d is negative", t.Files)
+	}
 	if !(t.Power >= 0 && t.Power <= maxCores) {
 		c.addf("platform.power", "platform.power %g is not a number of cores up to %d", t.Power, maxCores)
 	}
--- a/io/transport/server/conn.go
+++ b/io/transport/server/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"container/list"
 	"context"
 	"fmt"
 	"net"
@@ -38,6 +39,9 @@
 	// newUntil is the time up to which a connection that has not received a
 	// request is expected to receive its first.
 	newUntil time.Time
+	// place is the connection's place among those that wait for their peers, nil if it
+	// has none. It is guarded by the ConnLimit's mutex.
+	place *list.Element
 
 	// reading guards intake and discarded. It is locked before mu.
 	reading sync.Mutex
@@ -74,7 +78,9 @@
 
 func (s *Server) onOpen(c net.Conn) {
 	if nb, ok := c.(*nbio.Conn); ok {
-		s.conns.Store(nb, &conn{server: s, nb: nb, newUntil: time.Now().Add(transitGrace)})
+		c := &conn{server: s, nb: nb, newUntil: time.Now().Add(transitGrace)}
+		s.conns.Store(nb, c)
+		s.opts.Connections.add(c)
 	}
 }
 
@@ -85,6 +91,7 @@
 	}
 	if v, ok := s.conns.LoadAndDelete(nb); ok {
 		v.(*conn).close()
+		s.opts.Connections.remove(v.(*conn))
 	}
 }
 
@@ -189,6 +196,9 @@
 	}
 	if incomplete && c.timer == nil && !c.closed && !c.refused {
 		now := time.Now()
+		if len(c.jobs) == 0 {
+			c.server.opts.Connections.setWaiting(c)
+		}
 		c.timer = time.AfterFunc(c.server.opts.ReceiveDeadline(now).Sub(now), c.onReceiveTimeout)
 	}
 }
@@ -228,6 +238,9 @@
 	c.received++
 	c.jobs = append(c.jobs, j)
 	first := len(c.jobs) == 1
+	if first {
+		c.server.opts.Connections.setBusy(c)
+	}
 	c.mu.Unlock()
 	if first {
 		go c.runJobs(j)
@@ -252,6 +265,9 @@
 	c.jobs[0] = job{}
 	c.jobs = c.jobs[1:]
 	if len(c.jobs) == 0 {
+		if !c.closed && !c.refused {
+			c.server.opts.Connections.setWaiting(c)
+		}
 		return job{}, false
 	}
 	return c.jobs[0], true
@@ -289,6 +305,18 @@
 	return !c.closed && (len(c.jobs) > 0 || c.unsent > 0 || expected)
 }
 
+// yield closes the connection if it has no pending request, and reports whether it does.
+func (c *conn) yield() bool {
+	c.mu.Lock()
+	busy := len(c.jobs) > 0
+	c.refused = c.refused || !busy
+	c.mu.Unlock()
+	if !busy {
+		_ = c.nb.Close()
+	}
+	return !busy
+}
+
 // isClosed reports whether the connection is closed.
 func (c *conn) isClosed() bool {
 	c.mu.Lock()
@@ -393,6 +421,11 @@
 // sendRefusal sends the response to a refused request and closes the connection soon.
 func (c *conn) sendRefusal(err *result.Error) {
 	_, _ = c.nb.Write(encodeRefusal(c.server.opts.Refuse, err))
+	c.mu.Lock()
+	if !c.closed {
+		c.server.opts.Connections.setRefused(c)
+	}
+	c.mu.Unlock()
 	_ = c.nb.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
--- a/io/transport/server/server.go
+++ b/io/transport/server/server.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -50,6 +52,9 @@
 	// looks idle, or new and unused, to the server. A graceful shutdown waits
 	// that long before it stops accepting.
 	transitGrace = 200 * time.Millisecond
+	// acceptRetryPause is the pause after a connection could not be accepted for lack of
+	// descriptors or memory of the kernel.
+	acceptRetryPause = 50 * time.Millisecond
 	// acceptPause is how long no connection must have been waiting before a listener
 	// closes, and maxAcceptTime the longest time that this is awaited.
 	acceptPause   = 2 * time.Millisecond
@@ -68,6 +73,8 @@
 	// MaxBody is the largest request body in bytes; zero means
 	// [DefaultMaxBody].
 	MaxBody int
+	// Connections limits open connections. If nil, their number is not limited.
+	Connections *ConnLimit
 	// Memory limits what requests hold until their handlers return. If nil, the server
 	// has a budget of [memory.DefaultLimit] of its own.
 	Memory *memory.Budget
@@ -136,6 +143,9 @@
 	if o.Memory == nil {
 		o.Memory = memory.NewReservedBudget(memory.DefaultLimit)
 	}
+	if o.Connections == nil {
+		o.Connections = NewConnLimit(math.MaxInt)
+	}
 	if o.Log.GetSink() == nil {
 		o.Log = logr.Discard()
 	}
@@ -259,6 +269,9 @@
 // stopAccepting or drain, Accept blocks until Close.
 type listener struct {
 	net.Listener
+	// conns limits the connections; nil if their number is not limited.
+	conns   *ConnLimit
+	log     logr.Logger
 	once    sync.Once
 	stopped chan struct{}
 	// drainBy is when drain gives up waiting for a pause between connections, in Unix
@@ -276,6 +289,8 @@
 		return err
 	}
 	s.listener = newListener(l)
+	s.listener.conns = s.opts.Connections
+	s.listener.log = s.opts.Log
 	return nil
 }
 
@@ -283,7 +298,45 @@
 	return &listener{Listener: l, stopped: make(chan struct{}), drained: make(chan struct{})}
 }
 
+// Accept returns the next connection that may be opened.
 func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.accept()
+		switch {
+		case err == nil && (l.conns == nil || l.conns.admit()):
+			return c, nil
+		case err == nil:
+			_ = c.Close()
+		case isShortage(err):
+			l.log.Error(err, "no connection can be accepted", "address", l.Addr().String())
+			l.pause()
+		default:
+			return nil, err
+		}
+	}
+}
+
+// isShortage reports whether an error of Accept ends once resources are returned.
+func isShortage(err error) bool {
+	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
+// pause waits for acceptRetryPause or until the listener is closed.
+func (l *listener) pause() {
+	select {
+	case <-l.stopped:
+	case <-time.After(acceptRetryPause):
+	}
+}
+
+// accept returns the next connection. After stopAccepting or drain it blocks until
+// Close.
+func (l *listener) accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().UnixNano() < l.drainBy.Load() {
 		// The deadline may have passed before the kernel was asked.
