server: the limits of the routing document hold for clients

The operator's limits (maxHeaderBytes, maxBodyBytes, headerTimeoutMs, idleTimeoutMs) were read and used nowhere: a head of 17 KB was served under a limit of 16 KiB, a document could neither lower nor raise the 4 MiB of a body, a head could take 30 s and a connection idle for 2 min.

The listener for clients takes the limits from the document in force when the head of a request begins. Sizes are exact. Times have a margin, so that no client that keeps to them meets them: a head has 1 s more, an idle connection a fifth more.

TestLimitsOfTheDocument sends requests at each limit and one byte over it to a real process under three documents. Before, it failed for heads and bodies over the limit, and with no answer to a head that takes too long.

--- a/io/transport/server/conn.go
+++ b/io/transport/server/conn.go
@@ -72,8 +72,12 @@
 	// room is closed when the peer has taken enough of what was written, or the
 	// connection is closed; nil if nobody waits for that.
 	room chan struct{}
-	// timer bounds the arrival of an incomplete request; nil if there is none.
-	timer *time.Timer
+	// timer bounds the arrival of an incomplete request, or of its head if timesHead is
+	// true; it is nil if there is none.
+	timer     *time.Timer
+	timesHead bool
+	// receiveBy is when the incomplete request must have arrived.
+	receiveBy time.Time
 }
 
 func (s *Server) onOpen(c net.Conn) {
@@ -146,7 +150,7 @@
 		c.dropIntake()
 		return
 	}
-	c.setReceiveTimer(c.intake.completed != before, c.intake.incomplete())
+	c.setReceiveTimer(c.intake.completed != before, c.intake)
 }
 
 // dropIntake frees what has arrived of an incomplete request; c.reading must be held.
@@ -186,20 +190,30 @@
 	return c.refused || c.closed
 }
 
-// setReceiveTimer stops the receive timer if a request was completed, and starts it if
-// another one is incomplete.
-func (c *conn) setReceiveTimer(completed, incomplete bool) {
+// setReceiveTimer stops the receive timer if a request was completed, starts it if
+// another one is incomplete, and moves it once the head has arrived.
+func (c *conn) setReceiveTimer(completed bool, in *intake) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if completed {
 		c.stopTimer()
 	}
-	if incomplete && c.timer == nil && !c.closed && !c.refused {
-		now := time.Now()
+	switch {
+	case c.closed || c.refused || !in.incomplete():
+	case c.timer == nil:
 		if len(c.jobs) == 0 {
 			c.server.opts.Connections.setWaiting(c)
 		}
-		c.timer = time.AfterFunc(c.server.opts.ReceiveDeadline(now).Sub(now), c.onReceiveTimeout)
+		now := time.Now()
+		c.receiveBy, c.timesHead = c.server.opts.ReceiveDeadline(now), in.phase == head
+		by := c.receiveBy
+		if c.timesHead {
+			by = c.server.headDeadline(now)
+		}
+		c.timer = time.AfterFunc(by.Sub(now), c.onReceiveTimeout)
+	case c.timesHead && in.phase != head:
+		c.timesHead = false
+		c.timer.Reset(time.Until(c.receiveBy))
 	}
 }
 
@@ -287,7 +301,7 @@
 	if c.discardsInput() {
 		return
 	}
-	_ = c.nb.SetReadDeadline(c.server.opts.IdleDeadline(time.Now()))
+	_ = c.nb.SetReadDeadline(c.server.idleDeadline(time.Now()))
 	// A request may have started, or more of a response may have been written,
 	// since the caller's check.
 	if c.hasPendingWork() {
--- a/io/transport/server/intake.go
+++ b/io/transport/server/intake.go
@@ -12,8 +12,7 @@
 )
 
 const (
-	// maxHeadBytes is the largest request head in bytes, from the method to the
-	// empty line.
+	// maxHeadBytes is the default of the largest request head in bytes.
 	maxHeadBytes = 64 << 10
 	// maxEmptyLineBytes bounds the empty lines before a request.
 	maxEmptyLineBytes = 1 << 10
@@ -54,6 +53,8 @@
 	parser *nbhttp.Parser
 
 	phase phase
+	// limits are those of the current request, once its head has begun.
+	limits Limits
 	// emptyLineBytes counts the bytes before the current request.
 	emptyLineBytes int
 	// head holds the incomplete head.
@@ -172,17 +173,18 @@
 	}
 	whole, n := data, 0
 	if len(in.head) == 0 {
+		in.limits = in.conn.server.limits()
 		n = endAfter(data, 0)
 	} else {
 		before := len(in.head)
-		in.head = append(in.head, data[:min(len(data), maxHeadBytes+1-before)]...)
+		in.head = append(in.head, data[:min(len(data), in.limits.HeadBytes+1-before)]...)
 		if err := in.keep(cap(in.head)); err != nil {
 			return 0, err
 		}
 		whole, n = in.head, endAfter(in.head, max(0, before-len(endOfHead)+1))
 	}
-	if n > maxHeadBytes || n == 0 && len(whole) > maxHeadBytes {
-		return 0, result.New(result.HeadTooLarge, "head is larger than %d bytes", maxHeadBytes)
+	if n > in.limits.HeadBytes || n == 0 && len(whole) > in.limits.HeadBytes {
+		return 0, result.New(result.HeadTooLarge, "head is larger than %d bytes", in.limits.HeadBytes)
 	}
 	if n == 0 {
 		if len(in.head) == 0 {
@@ -370,16 +372,20 @@
 		in.phase = trailer
 		return nil
 	}
-	if in.missing > in.conn.server.opts.MaxBody-len(in.body) {
-		return in.processor.tooLarge()
+	if in.missing > in.limits.BodyBytes-len(in.body) {
+		return in.tooLarge()
 	}
 	in.phase = chunkData
 	return nil
 }
 
+func (in *intake) tooLarge() *result.Error {
+	return result.New(result.TooLarge, "body is larger than %d bytes", in.limits.BodyBytes)
+}
+
 func (in *intake) readChunkData(data []byte) (int, *result.Error) {
 	n := min(len(data), in.missing)
-	if err := in.grow(n, in.conn.server.opts.MaxBody); err != nil {
+	if err := in.grow(n, in.limits.BodyBytes); err != nil {
 		return 0, err
 	}
 	in.body = append(in.body, data[:n]...)
--- a/io/transport/server/processor.go
+++ b/io/transport/server/processor.go
@@ -68,8 +68,8 @@
 		p.refusal = result.New(result.Malformed, "Host was sent %d times", p.hosts)
 	case p.invalidLength:
 		p.refusal = result.New(result.Malformed, "Content-Length is not a number")
-	case length > p.conn.server.opts.MaxBody:
-		p.refusal = p.tooLarge()
+	case length > p.conn.intake.limits.BodyBytes:
+		p.refusal = p.conn.intake.tooLarge()
 	case !p.conn.server.opts.Memory.Fits(p.conn.intake.headCost + max(length, 0)):
 		p.refusal = outOfMemory(time.Now())
 	case p.expectsContinue && !p.conn.hasPendingWork():
@@ -78,10 +78,6 @@
 	p.Processor.OnContentLength(parser, length)
 }
 
-func (p *processor) tooLarge() *result.Error {
-	return result.New(result.TooLarge, "body is larger than %d bytes", p.conn.server.opts.MaxBody)
-}
-
 // OnComplete passes a complete request to the handler.
 func (p *processor) OnComplete(parser *nbhttp.Parser) {
 	if p.refusal == nil {
--- a/io/transport/server/server.go
+++ b/io/transport/server/server.go
@@ -70,9 +70,11 @@
 
 // Options are the settings of a server. The zero value is usable.
 type Options struct {
-	// MaxBody is the largest request body in bytes; zero means
+	// MaxBody is the largest request body in bytes if Limits does not tell; zero means
 	// [DefaultMaxBody].
 	MaxBody int
+	// Limits returns the limits that hold now. If nil, the defaults hold.
+	Limits func() Limits
 	// Connections limits open connections. If nil, their number is not limited.
 	Connections *ConnLimit
 	// Memory limits what requests hold until their handlers return. If nil, the server
@@ -84,7 +86,7 @@
 	// runs. If nil, the error is written as plain text.
 	Refuse func(w http.ResponseWriter, err *result.Error)
 	// IdleDeadline returns when a connection that is idle at now is closed. If
-	// nil, it is two minutes after now.
+	// nil, it is two minutes after now. A time in Limits goes first.
 	IdleDeadline func(now time.Time) time.Time
 	// ReceiveDeadline returns when a request whose first byte arrived at now must
 	// have arrived completely. If nil, it is 30 seconds after now.
