server: answers that clients do not read have a common limit

40 clients that each ask for 30 answers of 1 MiB on one connection and read none filled the memory of the daemon: 1001 MiB of 96.

What handlers have written and the kernel has not accepted counts in the budget of incomplete answers, beyond 4 KiB a connection; without room the connection with most of it is closed.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -64,7 +64,8 @@
 	folder      *disk.Folder
 	writer      *disk.Writer
 
-	// responses limits the memory for incomplete responses of upstreams.
+	// responses limits the memory for responses that have not arrived whole from upstreams
+	// or that callers have not taken.
 	responses *memory.Budget
 	// clientRequests limits the memory for requests of clients and callers,
 	// controlRequests that for requests of other daemons, replicas and operators, which
@@ -306,7 +307,7 @@
 }
 
 func (d *Daemon) listen() error {
-	opts := server.Options{Log: d.log, Refuse: wire.Refuse, Memory: d.clientRequests, Connections: d.clientConns}
+	opts := server.Options{Log: d.log, Refuse: wire.Refuse, Memory: d.clientRequests, Answers: d.responses, Connections: d.clientConns}
 	var err error
 	callerHandler := &caller.Handler{Infer: d.meteredInfer, Call: d.meteredCall, Addresses: d.addresses}
 	if d.callerServer, err = server.Listen(d.settings.Caller().String(), d.withUpstreams(callerHandler), opts); err != nil {
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -118,7 +118,8 @@
 // Listen serves h on an address until the platform is shut down. The requests use the
 // memory for clients, or that for replicas and operators if control is true.
 func (p *Platform) Listen(addr string, control bool, h http.Handler, o server.Options) error {
-	o.Log, o.Memory, o.Connections = p.d.log, p.d.clientRequests, p.d.clientConns
+	o.Log, o.Answers = p.d.log, p.d.responses
+	o.Memory, o.Connections = p.d.clientRequests, p.d.clientConns
 	if control {
 		o.Memory, o.Connections = p.d.controlRequests, p.d.controlConns
 	}
--- a/io/transport/server/conn.go
+++ b/io/transport/server/conn.go
@@ -66,6 +66,8 @@
 	// unsent is the number of bytes written by handlers and not yet accepted by
 	// the kernel. It is never negative.
 	unsent int
+	// answers holds the unsent bytes, but for a few.
+	answers *memory.Hold
 	// status replaces the one in the head that is written next; 0 if the library
 	// writes the right one.
 	status int
@@ -83,6 +85,7 @@
 func (s *Server) onOpen(c net.Conn) {
 	if nb, ok := c.(*nbio.Conn); ok {
 		c := &conn{server: s, nb: nb, newUntil: time.Now().Add(transitGrace)}
+		c.answers = s.opts.Answers.Hold(func() { _ = nb.Close() })
 		s.conns.Store(nb, c)
 		s.opts.Connections.add(c)
 	}
@@ -108,7 +111,7 @@
 	}
 	c := v.(*conn)
 	c.mu.Lock()
-	c.unsent = max(0, c.unsent-n)
+	_ = c.setUnsent(max(0, c.unsent-n))
 	c.signalRoom()
 	idle := c.unsent == 0 && len(c.jobs) == 0
 	c.mu.Unlock()
@@ -266,6 +269,8 @@
 func (c *conn) runJobs(j job) {
 	for more := true; more; j, more = c.nextJob() {
 		_ = c.nb.SetReadDeadline(time.Time{})
+		// A peer that does not read answers gets no further ones made.
+		_ = c.awaitRoom(context.Background())
 		j.run()
 		j.release()
 	}
@@ -353,6 +358,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
+	c.answers.Release()
 	c.signalRoom()
 	c.stopTimer()
 	if c.cancel != nil {
@@ -481,6 +487,19 @@
 	c.status = status
 }
 
+// setUnsent changes the number of unsent bytes; c.mu must be held. It fails with
+// [memory.ErrFull] if too much is unsent beside all other connections.
+func (c *conn) setUnsent(n int) error {
+	c.unsent = n
+	if n <= uncountedUnsent {
+		n = 0
+	}
+	if c.closed {
+		return nil
+	}
+	return c.answers.Resize(n)
+}
+
 // countingConn counts the bytes written by handlers as unsent, and writes the statuses
 // that the library doesn't know.
 type countingConn struct {
@@ -495,8 +514,13 @@
 		out = withStatus(b, w.conn.status)
 		w.conn.status = 0
 	}
-	w.conn.unsent += len(out)
+	err := w.conn.setUnsent(w.conn.unsent + len(out))
 	w.conn.mu.Unlock()
+	if err != nil {
+		w.conn.server.opts.Log.Info("connection closed, its answers are not read", "remote", w.conn.nb.RemoteAddr().String())
+		_ = w.conn.nb.Close()
+		return 0, err
+	}
 	if n, err := w.Conn.Write(out); err != nil {
 		return min(n, len(b)), err
 	}
--- a/io/transport/server/memory_test.go
+++ b/io/transport/server/memory_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -132,3 +133,52 @@
 		})
 	}
 }
+
+// TestUnreadAnswersAreNotMade guards against clients that ask for answers without end and
+// do not read them.
+func TestUnreadAnswersAreNotMade(t *testing.T) {
+	const requests, size = 30, 1 << 20
+	var made atomic.Int64
+	s := listen(t, server.Options{}, func(w http.ResponseWriter, _ *http.Request) {
+		made.Add(1)
+		fmt.Fprint(w, strings.Repeat("x", size))
+	})
+	c := dial(t, s)
+	assert.NilError(t, c.(*net.TCPConn).SetReadBuffer(64<<10))
+	fmt.Fprint(c, strings.Repeat("GET / HTTP/1.1\r\nHost: x\r\n\r\n", requests))
+	for end := time.Now().Add(time.Second); time.Now().Before(end) && made.Load() < requests; time.Sleep(10 * time.Millisecond) {
+	}
+	assert.Check(t, made.Load() < requests, "%d answers were made, none was read", made.Load())
+	// The answers are made as they are read.
+	in := bufio.NewReader(c)
+	for range requests {
+		resp, err := http.ReadResponse(in, nil)
+		assert.NilError(t, err)
+		n, err := io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, n, int64(size))
+	}
+}
+
+// TestUnreadAnswersGiveWay guards against answers that are not read and leave no memory
+// for others.
+func TestUnreadAnswersGiveWay(t *testing.T) {
+	const limit, size, clients = 4 << 20, 16 << 20, 8
+	s := listen(t, server.Options{Answers: memory.NewBudget(limit)}, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/ordinary" {
+			fmt.Fprint(w, r.URL.Path)
+			return
+		}
+		fmt.Fprint(w, strings.Repeat("x", size))
+	})
+	for range clients {
+		c := dial(t, s)
+		assert.NilError(t, c.(*net.TCPConn).SetReadBuffer(64<<10))
+		fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	}
+	for end := time.Now().Add(testTimeout); s.Connections() > 0; time.Sleep(time.Millisecond) {
+		// None of the answers fits, whatever the kernel takes.
+		assert.Assert(t, time.Now().Before(end), "%d connections are open", s.Connections())
+	}
+	ask(t, dial(t, s), "/ordinary")
+}
--- a/io/transport/server/server.go
+++ b/io/transport/server/server.go
@@ -80,6 +80,10 @@
 	// Memory limits what requests hold until their handlers return. If nil, the server
 	// has a budget of [memory.DefaultLimit] of its own.
 	Memory *memory.Budget
+	// Answers limits what is written and not yet accepted by the kernel. Without room
+	// the connection with most of it is closed. If nil, the server has a budget of
+	// [memory.DefaultLimit] of its own.
+	Answers *memory.Budget
 	// Log receives panics of handlers and refused requests.
 	Log logr.Logger
 	// Refuse writes the response for an error that is found before a handler
@@ -145,6 +149,9 @@
 	if o.Memory == nil {
 		o.Memory = memory.NewReservedBudget(memory.DefaultLimit)
 	}
+	if o.Answers == nil {
+		o.Answers = memory.NewBudget(memory.DefaultLimit)
+	}
 	if o.Connections == nil {
 		o.Connections = NewConnLimit(math.MaxInt)
 	}
--- a/io/transport/server/writer.go
+++ b/io/transport/server/writer.go
@@ -81,6 +81,9 @@
 	c.server.handler.ServeHTTP(w, private)
 }
 
+// uncountedUnsent is how many unsent bytes of a connection aren't counted.
+const uncountedUnsent = 4 << 10
+
 // requestBody is the body of a request that has arrived completely.
 type requestBody struct {
 	*bytes.Reader
