server: a request is charged what it holds besides its bytes

A heap profile shows 16 MB of answers under a limit of 12, since a buffer that grows was counted without the one it replaces, and as much in 12,000 queued requests, which were counted by their heads alone; an answer was no longer counted while it was written to its client.

Each request is charged 4 KiB more, both buffers count while one replaces the other, and an answer counts until it is written. Requests of clients get an eighth of the memory in place of a sixth, so that all three budgets together stay well below the limit at which the collector takes the processor.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -142,7 +142,7 @@
 // requests of clients, and requests of daemons, replicas and operators.
 const (
 	responseShare = 8
-	clientShare   = 6
+	clientShare   = 8
 	controlShare  = 8
 )
 
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -399,7 +399,8 @@
 		return v, balance.Faulty, ferr
 	}
 	x.recordAnswer(ctx, a)
-	_ = a.Body().Close()
+	// Closing the body returns what it holds in memory.
+	defer func() { _ = a.Body().Close() }()
 	outcome := balance.Good
 	if a.Status() >= http.StatusInternalServerError {
 		outcome = balance.Faulty
--- a/io/transport/client/body.go
+++ b/io/transport/client/body.go
@@ -45,10 +45,14 @@
 			continue
 		}
 		size := min(2*cap(buf), limit+1)
-		if err := a.Hold(size); err != nil {
+		// Both buffers are held while one is copied.
+		if err := a.Hold(cap(buf) + size); err != nil {
 			return nil, err
 		}
 		buf = append(make([]byte, 0, size), buf...)
+		if err := a.Hold(size); err != nil {
+			return nil, err
+		}
 	}
 }
 
--- a/io/transport/server/intake.go
+++ b/io/transport/server/intake.go
@@ -21,10 +21,12 @@
 	maxExtensionBytes = 64 << 10
 	// maxChunkDigits bounds the digits of the size of a chunk.
 	maxChunkDigits = 15
-	// copiesOfHead and bytesPerField are what a parsed head holds, until its request has
-	// been forwarded: copies of its bytes, and bytes for each of its fields.
-	copiesOfHead  = 2
-	bytesPerField = 256
+	// bytesPerRequest, copiesOfHead and bytesPerField are what a request holds besides its
+	// body until it has been handled: bytes of its own, copies of its head, and bytes for
+	// each field.
+	bytesPerRequest = 4 << 10
+	copiesOfHead    = 2
+	bytesPerField   = 256
 	// minBodyBuffer is the initial size of the buffer for a body that has not arrived
 	// with its head.
 	minBodyBuffer = 4 << 10
@@ -72,7 +74,7 @@
 	sawCR bool
 	// hold is what the current request holds; nil if nothing of it was kept.
 	hold *memory.Hold
-	// headCost is what the parsed head of the current request holds.
+	// headCost is what the current request holds besides its body.
 	headCost int
 	// completed counts the requests that arrived completely.
 	completed int
@@ -215,7 +217,7 @@
 	if err != nil {
 		return err
 	}
-	in.headCost = copiesOfHead*len(b) + fields*bytesPerField
+	in.headCost = bytesPerRequest + copiesOfHead*len(b) + fields*bytesPerField
 	if err := in.keep(in.headCost); err != nil {
 		return err
 	}
@@ -311,11 +313,11 @@
 		return nil
 	}
 	size := max(len(in.body)+n, min(most, max(minBodyBuffer, 2*cap(in.body))))
-	if err := in.keep(in.headCost + size); err != nil {
+	if err := in.keep(in.headCost + cap(in.body) + size); err != nil {
 		return err
 	}
 	in.body = append(make([]byte, 0, size), in.body...)
-	return nil
+	return in.keep(in.headCost + size)
 }
 
 // readChunkSize reads the line before a chunk.
