server: a JSON body counts with what it takes once it is decoded

One document of 4 MiB that lists empty objects ended a daemon's memory: 376 MiB of 96 at the control listener, where a route of three bytes becomes some 300. The budget counted the body alone.

Listeners that decode JSON state what a body takes: 320 bytes for each object, list and comma outside strings, and two copies. That is counted when the body has arrived.

TestCrowdDocuments: peak 390 MiB before, 47 MiB after, bound 96. TestCrowdParts (heads that list 30,000 parts of a prompt, 400 connections) passed before and is a guard.

Suspected, not run: messages between daemons are not JSON, and lists of empty messages in them may take far more than their bytes too.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -307,7 +307,7 @@
 }
 
 func (d *Daemon) listen() error {
-	opts := server.Options{Log: d.log, Refuse: wire.Refuse, Memory: d.clientRequests, Answers: d.responses, Connections: d.clientConns}
+	opts := server.Options{Log: d.log, Refuse: wire.Refuse, Memory: d.clientRequests, Answers: d.responses, Connections: d.clientConns, DecodedSize: wire.DecodedSize}
 	var err error
 	callerHandler := &caller.Handler{Infer: d.meteredInfer, Call: d.meteredCall, Addresses: d.addresses}
 	if d.callerServer, err = server.Listen(d.settings.Caller().String(), d.withUpstreams(callerHandler), opts); err != nil {
@@ -326,7 +326,7 @@
 			return err
 		}
 	}
-	opts.MaxBody = maxPeerBody
+	opts.MaxBody, opts.DecodedSize = maxPeerBody, nil
 	d.peerServer, err = server.Listen(d.settings.Peer().String(), d.peerHandler(), opts)
 	return err
 }
--- a/io/transport/memory/memory.go
+++ b/io/transport/memory/memory.go
@@ -64,6 +64,9 @@
 // a goroutine of its own.
 func (b *Budget) Hold(giveUp func()) *Hold { return &Hold{budget: b, giveUp: giveUp} }
 
+// Largest returns the size of the largest message that may have room.
+func (b *Budget) Largest() int { return b.limit - b.reserve }
+
 // Fits reports whether a message of size bytes would have room if all were given up that
 // may be.
 func (b *Budget) Fits(size int) bool {
--- a/io/transport/server/intake.go
+++ b/io/transport/server/intake.go
@@ -164,6 +164,31 @@
 	endOfLine = []byte("\r\n")
 )
 
+// checkRoom refuses a request that cannot have room for a number of bytes, now or at all.
+func (in *intake) checkRoom(size int) *result.Error {
+	m := in.conn.server.opts.Memory
+	switch {
+	case size > m.Largest():
+		return result.New(result.TooLarge, "the request takes %d bytes of memory, at most %d are allowed", size, m.Largest())
+	case !m.Fits(size):
+		return outOfMemory(time.Now())
+	}
+	return nil
+}
+
+// keepDecoded states what a body that has arrived holds while it is handled.
+func (in *intake) keepDecoded() *result.Error {
+	decoded := in.conn.server.opts.DecodedSize
+	if decoded == nil || len(in.body) == 0 {
+		return nil
+	}
+	size := in.headCost + cap(in.body) + decoded(in.body)
+	if err := in.checkRoom(size); err != nil {
+		return err
+	}
+	return in.keep(size)
+}
+
 // readHead reads a head, and the empty lines that may precede it.
 func (in *intake) readHead(data []byte) (int, *result.Error) {
 	if len(in.head) == 0 && (data[0] == '\r' || data[0] == '\n') {
@@ -234,7 +259,7 @@
 	case p.refusal != nil:
 		return p.refusal
 	case !p.headRead:
-		// The library also returns no error after a panic of its own.
+		// The library also returns no error after a panic in its parser.
 		return result.New(result.Malformed, "the head ends within a line")
 	}
 	in.head = nil
@@ -244,7 +269,7 @@
 	case p.length > 0:
 		in.phase, in.missing = body, p.length
 	default:
-		in.finish()
+		return in.finish()
 	}
 	return nil
 }
@@ -284,13 +309,15 @@
 	return false
 }
 
-// finish ends a request. The library has queued one without a body already.
-func (in *intake) finish() {
-	if in.phase != head {
-		in.processor.Processor.OnComplete(in.parser)
+// finish ends a request. The library queues it.
+func (in *intake) finish() *result.Error {
+	if err := in.keepDecoded(); err != nil {
+		return err
 	}
+	in.processor.Processor.OnComplete(in.parser)
 	in.completed++
 	in.reset(in.parser.Conn, in.parser.Engine)
+	return nil
 }
 
 // readBody reads a body of a known length.
@@ -302,7 +329,7 @@
 	in.body = append(in.body, data[:n]...)
 	in.missing -= n
 	if in.missing == 0 {
-		in.finish()
+		return n, in.finish()
 	}
 	return n, nil
 }
@@ -421,8 +448,7 @@
 		case c == '\r':
 			in.sawCR = true
 		case c == '\n' && in.lineBytes == 0:
-			in.finish()
-			return i + 1, nil
+			return i + 1, in.finish()
 		case c == '\n':
 			in.sawCR, in.lineBytes = false, 0
 		default:
--- a/io/transport/server/processor.go
+++ b/io/transport/server/processor.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
 
@@ -70,20 +69,17 @@
 		p.refusal = result.New(result.Malformed, "Content-Length is not a number")
 	case length > p.conn.intake.limits.BodyBytes:
 		p.refusal = p.conn.intake.tooLarge()
-	case !p.conn.server.opts.Memory.Fits(p.conn.intake.headCost + max(length, 0)):
-		p.refusal = outOfMemory(time.Now())
+	case length > 0 && p.conn.intake.checkRoom(p.conn.intake.headCost+length) != nil:
+		p.refusal = p.conn.intake.checkRoom(p.conn.intake.headCost + length)
 	case p.expectsContinue && !p.conn.hasPendingWork():
 		_, _ = parser.Conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
 	p.Processor.OnContentLength(parser, length)
 }
 
-// OnComplete passes a complete request to the handler.
-func (p *processor) OnComplete(parser *nbhttp.Parser) {
-	if p.refusal == nil {
-		p.Processor.OnComplete(parser)
-	}
-}
+// OnComplete does nothing: the intake completes requests, also those without a body,
+// outside the parser, which hides panics.
+func (*processor) OnComplete(*nbhttp.Parser) {}
 
 // serve runs the handler for one complete request.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
--- a/io/transport/server/server.go
+++ b/io/transport/server/server.go
@@ -80,6 +80,9 @@
 	// Memory limits what requests hold until their handlers return. If nil, the server
 	// has a budget of [memory.DefaultLimit] of its own.
 	Memory *memory.Budget
+	// DecodedSize returns what the handler holds besides a body while it handles it. If
+	// nil, that is nothing.
+	DecodedSize func(body []byte) int
 	// Answers limits what is written and not yet accepted by the kernel. Without room
 	// the connection with most of it is closed. If nil, the server has a budget of
 	// [memory.DefaultLimit] of its own.
