server: a panic while a request is read costs its connection

The library's parser recovers from panics, says nothing and looks as if it had succeeded; the connection would go on in an unknown state. Since bodies are completed outside the parser, a panic there would have ended the process.

--- a/io/transport/server/conn.go
+++ b/io/transport/server/conn.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -144,7 +145,7 @@
 		c.intake = newIntake(c, session)
 	}
 	before := c.intake.completed
-	if err := c.intake.feed(data); err != nil {
+	if err := c.feed(data); err != nil {
 		c.dropIntake()
 		c.refuse(err)
 		return
@@ -156,6 +157,18 @@
 	c.setReceiveTimer(c.intake.completed != before, c.intake)
 }
 
+// feed reads the data that has arrived; c.reading must be held. A panic of the library
+// costs the connection and not the process.
+func (c *conn) feed(data []byte) (err *result.Error) {
+	defer func() {
+		if v := recover(); v != nil {
+			err = result.New(result.Internal, "panic while a request was read: %v", v)
+			c.server.opts.Log.Error(err, "request not read", "stack", string(debug.Stack()))
+		}
+	}()
+	return c.intake.feed(data)
+}
+
 // dropIntake frees what has arrived of an incomplete request; c.reading must be held.
 func (c *conn) dropIntake() {
 	if c.intake != nil && c.intake.hold != nil {
