server: a head counts with the lists that its fields become

400 clients that list 30,000 parts of a prompt in a head of 60 KB held 198 MiB of 284 in a trial, more than the budget of 35 MiB explains: each part of two bytes becomes a string of 16 bytes, in a list that grows by copying.

An ordinary request of 500 bytes counts 10 KiB.

--- a/io/transport/server/intake.go
+++ b/io/transport/server/intake.go
@@ -21,12 +21,12 @@
 	maxExtensionBytes = 64 << 10
 	// maxChunkDigits bounds the digits of the size of a chunk.
 	maxChunkDigits = 15
-	// bytesPerRequest, copiesOfHead and bytesPerField are what a request holds besides its
-	// body until it has been handled: bytes of its own, copies of its head, and bytes for
-	// each field.
-	bytesPerRequest = 4 << 10
-	copiesOfHead    = 2
-	bytesPerField   = 256
+	// bytesPerRequest, bytesPerHeadByte and bytesPerField are what a request holds besides
+	// its body until it has been handled: bytes of its own, for each byte of its head, which
+	// may become lists of short strings, and for each field.
+	bytesPerRequest  = 4 << 10
+	bytesPerHeadByte = 8
+	bytesPerField    = 256
 	// minBodyBuffer is the initial size of the buffer for a body that has not arrived
 	// with its head.
 	minBodyBuffer = 4 << 10
@@ -242,7 +242,7 @@
 	if err != nil {
 		return err
 	}
-	in.headCost = bytesPerRequest + copiesOfHead*len(b) + fields*bytesPerField
+	in.headCost = bytesPerRequest + bytesPerHeadByte*len(b) + fields*bytesPerField
 	if err := in.keep(in.headCost); err != nil {
 		return err
 	}
