server: a body behind a split head begins at the right byte

A head that arrives in two pieces, the second of which is longer than the largest head allows, was found, but what it took of the second piece was computed from the piece's whole length. The body began at a wrong byte, so the request was refused or never complete.

What a head takes is its length less what was kept before. TestBodyBehindASplitHead failed in all its eight cases before.

--- a/io/transport/server/intake.go
+++ b/io/transport/server/intake.go
@@ -191,39 +191,40 @@
 
 // readHead reads a head, and the empty lines that may precede it.
 func (in *intake) readHead(data []byte) (int, *result.Error) {
-	if len(in.head) == 0 && (data[0] == '\r' || data[0] == '\n') {
-		in.emptyLineBytes++
-		if in.emptyLineBytes > maxEmptyLineBytes {
-			return 0, result.New(result.Malformed, "more than %d bytes of empty lines precede the request", maxEmptyLineBytes)
+	before := len(in.head)
+	if before == 0 {
+		if data[0] == '\r' || data[0] == '\n' {
+			return 1, in.countEmptyLine()
 		}
-		return 1, nil
-	}
-	whole, n := data, 0
-	if len(in.head) == 0 {
 		in.limits = in.conn.server.limits()
-		n = endAfter(data, 0)
-	} else {
-		before := len(in.head)
-		in.head = append(in.head, data[:min(len(data), in.limits.HeadBytes+1-before)]...)
-		if err := in.keep(cap(in.head)); err != nil {
-			return 0, err
+		if n := endAfter(data, 0); n > 0 {
+			return n, in.parseHead(data[:n])
 		}
-		whole, n = in.head, endAfter(in.head, max(0, before-len(endOfHead)+1))
 	}
-	if n > in.limits.HeadBytes || n == 0 && len(whole) > in.limits.HeadBytes {
-		return 0, result.New(result.HeadTooLarge, "head is larger than %d bytes", in.limits.HeadBytes)
+	in.head = append(in.head, data[:min(len(data), in.limits.HeadBytes+1-before)]...)
+	n := endAfter(in.head, max(0, before-len(endOfHead)+1))
+	if n == 0 && len(in.head) > in.limits.HeadBytes {
+		return 0, in.headTooLarge()
+	}
+	if err := in.keep(cap(in.head)); err != nil {
+		return 0, err
 	}
 	if n == 0 {
-		if len(in.head) == 0 {
-			in.head = bytes.Clone(data)
-		}
-		return len(data), in.keep(cap(in.head))
+		return len(data), nil
 	}
-	read := n - (len(whole) - len(data))
-	if len(in.head) == 0 {
-		read = n
+	return n - before, in.parseHead(in.head[:n])
+}
+
+func (in *intake) countEmptyLine() *result.Error {
+	in.emptyLineBytes++
+	if in.emptyLineBytes > maxEmptyLineBytes {
+		return result.New(result.Malformed, "more than %d bytes of empty lines precede the request", maxEmptyLineBytes)
 	}
-	return read, in.parseHead(whole[:n])
+	return nil
+}
+
+func (in *intake) headTooLarge() *result.Error {
+	return result.New(result.HeadTooLarge, "head is larger than %d bytes", in.limits.HeadBytes)
 }
 
 // endAfter returns the length of b up to the end of the head, which it searches from a
@@ -238,6 +239,9 @@
 
 // parseHead parses a complete head.
 func (in *intake) parseHead(b []byte) *result.Error {
+	if len(b) > in.limits.HeadBytes {
+		return in.headTooLarge()
+	}
 	fields, err := checkLines(b)
 	if err != nil {
 		return err
--- a/io/transport/server/intake_test.go
+++ b/io/transport/server/intake_test.go
@@ -98,6 +98,31 @@
 	}
 }
 
+// TestBodyBehindASplitHead guards against a body that begins at the wrong byte because its
+// head arrives in two pieces, the second of which is longer than the largest head.
+func TestBodyBehindASplitHead(t *testing.T) {
+	limits := func() server.Limits { return server.Limits{HeadBytes: 1000} }
+	s := listen(t, server.Options{Limits: limits}, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+	want := strings.Repeat("0123456789", 4000)
+	requests := map[string]string{
+		"length": fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(want), want),
+		"chunks": fmt.Sprintf("%s\r\n%x\r\n%s\r\n0\r\n\r\n", chunkedHead, len(want), want),
+	}
+	for name, request := range requests {
+		for _, split := range []int{1, 10, strings.Index(request, "\r\n\r\n") + 1, strings.Index(request, "\r\n\r\n") + 3} {
+			t.Run(fmt.Sprint(name, " split at ", split), func(t *testing.T) {
+				c := dial(t, s)
+				_, err := io.WriteString(c, request[:split])
+				assert.NilError(t, err)
+				time.Sleep(10 * time.Millisecond)
+				_, err = io.WriteString(c, request[split:])
+				assert.NilError(t, err)
+				checkAnswer(t, c, want)
+			})
+		}
+	}
+}
+
 // sendInPieces sends a request in pieces that likely arrive one by one if there are
 // few.
 func sendInPieces(c net.Conn, request string, piece int) {
