server: odd limits and a request that arrives slowly do not cut connections

Limits near the largest number overflowed: each request was answered with P599.

The idle deadline is lifted when a request begins to arrive, and is not set while one does. TestIdleTimeoutSparesAnArrivingRequest and TestOddLimitsCutNothing failed before.

--- a/io/transport/server/conn.go
+++ b/io/transport/server/conn.go
@@ -154,7 +154,10 @@
 		c.dropIntake()
 		return
 	}
-	c.setReceiveTimer(c.intake.completed != before, c.intake)
+	if c.setReceiveTimer(c.intake.completed != before, c.intake) {
+		// The connection is not idle any more.
+		_ = c.nb.SetReadDeadline(time.Time{})
+	}
 }
 
 // feed reads the data that has arrived; c.reading must be held. A panic of the library
@@ -207,8 +210,9 @@
 }
 
 // setReceiveTimer stops the receive timer if a request was completed, starts it if
-// another one is incomplete, and moves it once the head has arrived.
-func (c *conn) setReceiveTimer(completed bool, in *intake) {
+// another one is incomplete, and moves it once the head has arrived. It reports whether
+// it has started the timer.
+func (c *conn) setReceiveTimer(completed bool, in *intake) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if completed {
@@ -227,10 +231,12 @@
 			by = c.server.headDeadline(now)
 		}
 		c.timer = time.AfterFunc(by.Sub(now), c.onReceiveTimeout)
+		return true
 	case c.timesHead && in.phase != head:
 		c.timesHead = false
 		c.timer.Reset(time.Until(c.receiveBy))
 	}
+	return false
 }
 
 // stopTimer stops the receive timer; c.mu must be held.
@@ -320,13 +326,21 @@
 		return
 	}
 	_ = c.nb.SetReadDeadline(c.server.idleDeadline(time.Now()))
-	// A request may have started, or more of a response may have been written,
-	// since the caller's check.
-	if c.hasPendingWork() {
+	// A request may arrive or have started, or more of a response may have been
+	// written, since the caller's check.
+	if !c.isIdle() {
 		_ = c.nb.SetReadDeadline(time.Time{})
 	}
 }
 
+// isIdle reports whether no request is arriving, queued or running, and every response
+// has been passed to the kernel completely.
+func (c *conn) isIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.jobs) == 0 && c.unsent == 0 && c.timer == nil
+}
+
 // busy reports whether a request is expected, arriving, queued or running, or a
 // response has not been passed to the kernel completely.
 func (c *conn) busy() bool {
--- a/io/transport/server/limits.go
+++ b/io/transport/server/limits.go
@@ -1,6 +1,9 @@
 package server
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// transitTime is how long a head may be on its way beyond the time in which its peer
@@ -9,6 +12,8 @@
 	// idleMargin divides the time that a connection may be idle. It stays open for that
 	// part longer: a request may be on its way.
 	idleMargin = 5
+	// maxTimeout is the longest timeout that is applied.
+	maxTimeout = 24 * time.Hour
 )
 
 // Limits bound what a peer may send. Each request has the limits that hold when it
@@ -34,6 +39,8 @@
 	if l.BodyBytes <= 0 {
 		l.BodyBytes = s.opts.MaxBody
 	}
+	l.HeadBytes, l.BodyBytes = min(l.HeadBytes, math.MaxInt32), min(l.BodyBytes, math.MaxInt32)
+	l.HeadTimeout, l.IdleTimeout = min(l.HeadTimeout, maxTimeout), min(l.IdleTimeout, maxTimeout)
 	return l
 }
 
--- a/io/transport/server/server_test.go
+++ b/io/transport/server/server_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -474,3 +475,41 @@
 		t.Fatal("the handler still waits for a peer that is gone")
 	}
 }
+
+// TestOddLimitsCutNothing guards against limits that are negative, or so large that sums
+// with them overflow.
+func TestOddLimitsCutNothing(t *testing.T) {
+	for name, l := range map[string]server.Limits{
+		"negative": {HeadBytes: -1, BodyBytes: math.MinInt, HeadTimeout: -1, IdleTimeout: math.MinInt64},
+		"largest":  {HeadBytes: math.MaxInt, BodyBytes: math.MaxInt, HeadTimeout: math.MaxInt64, IdleTimeout: math.MaxInt64},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := listen(t, server.Options{Limits: func() server.Limits { return l }}, func(w http.ResponseWriter, r *http.Request) {
+				fmt.Fprint(w, r.URL.Path)
+			})
+			c := dial(t, s)
+			for range 2 {
+				fmt.Fprint(c, "GET /x HTTP/1.1\r\nHo")
+				time.Sleep(20 * time.Millisecond)
+				fmt.Fprint(c, "st: x\r\n\r\n")
+				checkAnswer(t, c, "/x")
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+}
+
+// TestIdleTimeoutSparesAnArrivingRequest guards against the end of a connection in the
+// middle of a request, because it was idle before.
+func TestIdleTimeoutSparesAnArrivingRequest(t *testing.T) {
+	const idle = 300 * time.Millisecond
+	limits := func() server.Limits { return server.Limits{IdleTimeout: idle} }
+	s := listen(t, server.Options{Limits: limits}, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+	c := dial(t, s)
+	sendLength(c, 1, 1)
+	checkAnswer(t, c, "b")
+	sendLength(c, 2, 1)
+	time.Sleep(2 * idle)
+	fmt.Fprint(c, "b")
+	checkAnswer(t, c, "bb")
+}
