--- a/review/_cases3/main.go
+++ b/review/_cases3/main.go
@@ -11,6 +11,7 @@
 	"path":  doubleSlash,
 	"drain": departure,
 	"part":  deadlyPart,
+	"copy":  lateCopy,
 }
 
 func main() {
