--- a/review/_cases3/cases.go
+++ b/review/_cases3/cases.go
@@ -333,3 +333,74 @@
 	j.note("requests with the deadly part that reached replicas later than 3 s after the fifth crash: %d (3 are allowed)", late)
 	return late > 3
 }
+
+// earlyDeparture has a replica leave half a second after its start, with an acknowledged
+// DELETE, before its first status report has arrived.
+func earlyDeparture(j *journal, trouble bool) bool {
+	const drain = 2 * time.Second
+	c := newCluster(j, 3)
+	defer c.stop()
+	var mu sync.Mutex
+	var left time.Time
+	late, served := 0, 0
+	handle := func(x *replica, w net.Conn, r request) bool {
+		if r.id() == "" {
+			writeAnswer(w, r, 200, "X-Instance-Id: "+x.id+"\r\n", []byte("{}"))
+			return true
+		}
+		mu.Lock()
+		after := time.Duration(0)
+		if x.id == "i-leaves" && !left.IsZero() {
+			after = time.Since(left)
+		}
+		if after > drain {
+			late++
+		}
+		served++
+		mu.Unlock()
+		j.note("replica %s runs %s (%s after the ack of its DELETE)", x.id, r.id(), after.Round(time.Millisecond))
+		time.Sleep(30 * time.Millisecond)
+		writeAnswer(w, r, 200, "X-Response-Signature: s."+r.id()+"\r\nX-Instance-Id: "+x.id+"\r\n", []byte("done"))
+		return true
+	}
+	stays := newReplica(c, "i-stays", "app", 6, handle)
+	stays.beat()
+	c.putConfig(appConfig, 15*time.Second)
+	c.awaitReady(10 * time.Second)
+	time.Sleep(5 * time.Second)
+
+	leaves := newReplica(c, "i-leaves", "app", 6, handle)
+	started := time.Now()
+	first := leaves.report("ready")
+	j.note("i-leaves starts and sends its first status report: %s", first)
+	if !trouble {
+		j.note("the first status report arrives: acknowledged %t", leaves.tell(first))
+	}
+	time.Sleep(time.Until(started.Add(500 * time.Millisecond)))
+	if status, text := call(http.MethodDelete, "http://"+c.daemons[1].control+"/-/instances/i-leaves", ""); status != http.StatusOK {
+		fail("DELETE of i-leaves: status %d, %s", status, text)
+	}
+	mu.Lock()
+	left = time.Now()
+	mu.Unlock()
+	j.note("DELETE of i-leaves acknowledged by %s", c.daemons[1].name)
+	if trouble {
+		time.Sleep(time.Until(started.Add(3 * time.Second)))
+		j.note("the first status report arrives late: acknowledged %t", leaves.tell(first))
+	}
+	time.Sleep(time.Until(left.Add(4 * time.Second)))
+	var wg sync.WaitGroup
+	for n := range 60 {
+		id, to := fmt.Sprintf("after-%d", n), c.daemons[n%3]
+		wg.Go(func() {
+			a := send(to.front, http.MethodGet, "/rota/today", "app.example", id, "", nil, 2500*time.Millisecond)
+			j.note("client got for %s from %s: %s", id, to.name, a)
+		})
+		time.Sleep(20 * time.Millisecond)
+	}
+	wg.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	j.note("requests that reached i-leaves later than %s after the ack of its DELETE: %d of %d", drain, late, served)
+	return late > 0
+}
