--- a/review/_cases3/main.go
+++ b/review/_cases3/main.go
@@ -12,6 +12,7 @@
 	"drain": departure,
 	"part":  deadlyPart,
 	"copy":  lateCopy,
+	"head":  endlessHeads,
 	"early": earlyDeparture,
 }
 
