--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -3,4 +3,4 @@
 # With TROUBLE=0 the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x bin/review-3/cases3 ] && [ -x target/papayaspoked ] || exit 2
-exec bin/review-3/cases3 drain review/14/record.txt
+exec bin/review-3/cases3 early review/14/record.txt
