--- a/review/_cases3/cases.go
+++ b/review/_cases3/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -186,54 +187,123 @@
 	c *cluster
 	j *journal
 
+	mu      sync.Mutex
+	deadly  string
+	crashes []time.Time
+	started int
+}
+
+// poolReplica is a replica of one of the pools. A restart leaves it empty but for the copy
+// of the model on its disk.
+type poolReplica struct {
 	mu       sync.Mutex
-	deadly   string
-	crashes  []time.Time
-	reached  []time.Time
-	replicas map[string]bool
-	started  int
+	sequence int
+	// readyAt is when the model is loaded; zero while it has not been ordered.
+	readyAt time.Time
+	conns   map[net.Conn]bool
+}
+
+// diskTime is how long the model takes from a replica's own disk, as in the config.
+const diskTime = 1100 * time.Millisecond
+
+// holds reports whether the model is loaded, and whether it is being loaded.
+func (q *poolReplica) holds() (held, loading bool) {
+	held = !q.readyAt.IsZero() && !time.Now().Before(q.readyAt)
+	return held, !q.readyAt.IsZero() && !held
 }
 
-// start starts a replica of a service, and starts it again under another id when it has
-// crashed, after three seconds.
-func (p *pools) start(service string) {
+// models returns what the replica holds and has copies of, as in reports.
+func (q *poolReplica) models() string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	models := "[]"
+	if held, _ := q.holds(); held {
+		models = `[{"name":"base","version":1,"adapters":[]}]`
+	}
+	return `"stage":"both","models":` + models + `,"available":{"inMemory":[],"onDisk":["base"]}`
+}
+
+// order carries out an order to load the model and returns the status of the answer.
+func (q *poolReplica) order(body []byte) int {
+	var o struct {
+		Operation, Model string
+		Precondition     *int
+	}
+	if json.Unmarshal(body, &o) != nil || o.Model != "base" {
+		return 400
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	held, loading := q.holds()
+	switch {
+	case loading || o.Precondition != nil && *o.Precondition != q.sequence:
+		return 409
+	case o.Operation != "load":
+		return 400
+	case held:
+		return 200
+	}
+	q.sequence++
+	q.readyAt = time.Now().Add(diskTime)
+	return 202
+}
+
+// start starts a replica of a service, with the model unless it starts again. It starts
+// again under another id three seconds after a crash.
+func (p *pools) start(service string, again bool) {
 	p.mu.Lock()
 	p.started++
 	id := fmt.Sprintf("i-%s-%d", service, p.started)
 	p.mu.Unlock()
-	var conns sync.Map
-	var x *replica
-	x = newReplica(p.c, id, service, 64, func(x *replica, w net.Conn, r request) bool {
-		conns.Store(w, true)
+	q := &poolReplica{conns: make(map[net.Conn]bool)}
+	if !again {
+		q.sequence, q.readyAt = 1, time.Now()
+	}
+	x := newReplica(p.c, id, service, 64, func(x *replica, w net.Conn, r request) bool {
+		q.mu.Lock()
+		q.conns[w] = true
+		held, loading := q.holds()
+		sequence := q.sequence
+		q.mu.Unlock()
 		switch {
 		case r.target() == wire("@report@"):
-			writeAnswer(w, r, 200, "Content-Type: application/json\r\n", []byte(`{"stage":"both","models":[{"name":"base","version":1,"adapters":[]}],"busy":false,"sequence":1,"queued":0,"active":0,"kvUsed":0,"kvTotal":120000,"handles":0}`))
+			writeAnswer(w, r, 200, "Content-Type: application/json\r\n", []byte(fmt.Sprintf(`{%s,"busy":%t,"sequence":%d,"queued":0,"active":0,"kvUsed":0,"kvTotal":120000,"handles":0}`, q.models(), loading, sequence)))
+			return true
+		case r.target() == wire("@order@"):
+			status := q.order(r.body)
+			p.j.note("order at %s: %d", x.id, status)
+			writeAnswer(w, r, status, "", nil)
 			return true
 		case r.id() == "":
 			writeAnswer(w, r, 200, wire("@instance@: ")+x.id+"\r\n", nil)
 			return true
+		case loading:
+			writeAnswer(w, r, 503, wire("@notrun@: 1\r\n"), nil)
+			return true
+		case !held:
+			writeAnswer(w, r, 421, wire("@notrun@: 1\r\n"), nil)
+			return true
 		}
 		if strings.Contains(r.header.Get(wire("@parts@")), p.deadly+":") {
 			p.mu.Lock()
 			p.crashes = append(p.crashes, time.Now())
-			p.reached = append(p.reached, time.Now())
 			n := len(p.crashes)
 			p.mu.Unlock()
 			p.j.note("crash %d: replica %s of %s ends under %s", n, x.id, service, r.id())
 			x.stopBeat()
 			_ = x.listener.Close()
-			conns.Range(func(k, _ any) bool {
-				if t, ok := k.(*net.TCPConn); ok {
+			q.mu.Lock()
+			for o := range q.conns {
+				if t, ok := o.(*net.TCPConn); ok {
 					_ = t.SetLinger(0)
 				}
-				_ = k.(net.Conn).Close()
-				return true
-			})
-			time.AfterFunc(3*time.Second, func() { p.start(service) })
+				_ = o.Close()
+			}
+			q.mu.Unlock()
+			time.AfterFunc(3*time.Second, func() { p.start(service, true) })
 			return false
 		}
-		head := wire("HTTP/1.1 200 OK\r\n@requestid@: ") + r.id() + wire("\r\n@signature@: s.") + r.id() + "\r\nX-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-		_, _ = w.Write([]byte(head))
+		_, _ = w.Write([]byte(wire("HTTP/1.1 200 OK\r\n@requestid@: ") + r.id() + wire("\r\n@signature@: s.") + r.id() + "\r\nX-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
 		for n := 1; n <= 5; n++ {
 			time.Sleep(20 * time.Millisecond)
 			e := fmt.Sprintf("id: %d\ndata: %d\n\n", n, n)
@@ -244,7 +314,7 @@
 		_, _ = w.Write([]byte("0\r\n\r\n"))
 		return true
 	})
-	x.extra = `,"stage":"both","models":[{"name":"base","version":1,"adapters":[]}]`
+	x.extra = func() string { return "," + q.models() }
 	x.beat()
 }
 
@@ -257,7 +327,7 @@
 	p := &pools{c: c, j: j, deadly: "dead0001"}
 	for _, s := range names {
 		for range 4 {
-			p.start(s)
+			p.start(s, false)
 		}
 	}
 	var rs, ss []string
@@ -325,7 +395,7 @@
 		return false
 	}
 	late := 0
-	for _, at := range p.reached {
+	for _, at := range p.crashes {
 		if at.After(p.crashes[4].Add(3 * time.Second)) {
 			late++
 		}
--- a/review/_cases3/cluster.go
+++ b/review/_cases3/cluster.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/textproto"
@@ -80,9 +81,9 @@
 		fail("%w", err)
 	}
 	c := &cluster{j: j, root: root, dir: dir}
-	port := freePorts()
 	// Cases that run at the same time have other addresses.
 	subnet := fmt.Sprintf("127.%d.%d", 64+os.Getpid()%150, 1+os.Getpid()/150%250)
+	port := freePorts(subnet, n)
 	for i := range n {
 		ip := fmt.Sprintf("%s.%d", subnet, i+1)
 		p := &process{
@@ -104,16 +105,39 @@
 	return c
 }
 
-// freePorts returns the first of a range of ports that are likely to be free.
-func freePorts() int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		fail("%w", err)
+// freePorts returns the first of a range of ports that are free at the addresses of n
+// daemons.
+func freePorts(subnet string, n int) int {
+	for range 50 {
+		port := 3000 + rand.IntN(5500)
+		if portsAreFree(subnet, n, port) {
+			return port
+		}
+	}
+	fail("no free ports at %s", subnet)
+	return 0
+}
+
+func portsAreFree(subnet string, n, port int) bool {
+	ports := []int{metricsPort, port + 20, port + 21, port + 22, port + 23}
+	for i := range 16 {
+		ports = append(ports, port+i)
 	}
-	defer l.Close()
-	return 3000 + l.Addr().(*net.TCPAddr).Port%5500
+	for i := range n {
+		for _, at := range ports {
+			l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", subnet, i+1, at))
+			if err != nil {
+				return false
+			}
+			_ = l.Close()
+		}
+	}
+	return true
 }
 
+// metricsPort is that of the template.
+const metricsPort = 9102
+
 // settings returns what the platform makes of deploy/papayaspoked.toml.
 func (c *cluster) settings(p *process, bootstrap bool) string {
 	quote := func(s string) string { b, _ := json.Marshal(s); return string(b) }
@@ -123,7 +147,7 @@
 data = %s
 [listen]
 ports = "%s:%d"
-metrics = "%s:9102"
+metrics = "%s:%d"
 
 [cluster]
 open = true
@@ -144,7 +168,7 @@
 memory = 284
 files = 4100
 power = 0.72
-`, quote(p.name), quote("zone"+strings.Split(p.name, "zone")[1][:1]), quote(filepath.Join(p.dir, "data")), p.ip, p.port, p.ip, bootstrap, seeds,
+`, quote(p.name), quote("zone"+strings.Split(p.name, "zone")[1][:1]), quote(filepath.Join(p.dir, "data")), p.ip, p.port, p.ip, metricsPort, bootstrap, seeds,
 		quote(p.front), quote(p.ready), quote(p.control), quote(p.resolver))
 }
 
@@ -326,8 +350,8 @@
 	addr        string
 	born        int64
 	slots       int
-	// extra is added to what the replica says of itself.
-	extra string
+	// extra returns what is added to what the replica says of itself; nil if nothing is.
+	extra func() string
 	// handle answers a request; it returns false to close the connection.
 	handle   func(w net.Conn, r request) bool
 	listener net.Listener
@@ -387,11 +411,15 @@
 
 // report returns the next status report of the replica.
 func (x *replica) report(state string) string {
+	extra := ""
+	if x.extra != nil {
+		extra = x.extra()
+	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.sequence++
 	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"coldMs":0,"sequence":%d,"born":%d%s}`,
-		x.service, x.addr, x.zone, x.slots, state, x.sequence, x.born, x.extra)
+		x.service, x.addr, x.zone, x.slots, state, x.sequence, x.born, extra)
 }
 
 // tell sends a status report, to the next daemon if one gives no answer.
--- a/review/_cases3/engine.go
+++ b/review/_cases3/engine.go
@@ -47,6 +47,11 @@
 func newEngine(c *cluster, id string, slots int) *engine {
 	e := &engine{j: c.j, slots: slots, held: make(map[string]*adapter), newest: make(map[string]int), last: make(map[net.Conn][]byte), conns: make(map[net.Conn]bool), sequence: 1}
 	e.x = newReplica(c, id, "scribe", 64, func(_ *replica, w net.Conn, r request) bool { return e.handle(w, r) })
+	e.x.extra = func() string {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return `,"stage":"both","models":` + e.models()
+	}
 	return e
 }
 
@@ -213,11 +218,6 @@
 func (e *engine) beat(done <-chan struct{}) {
 	go func() {
 		for {
-			e.mu.Lock()
-			e.x.mu.Lock()
-			e.x.extra = `,"stage":"both","models":` + e.models()
-			e.x.mu.Unlock()
-			e.mu.Unlock()
 			e.x.tell(e.x.report("ready"))
 			select {
 			case <-done:
@@ -234,16 +234,17 @@
 	}()
 }
 
-// lateCopy has a replica send a second copy of an answer, late, where the answer to an
-// order is due.
+// lateCopy has one of two replicas send a second copy of an answer, late, where the answer
+// to an order is due.
 func lateCopy(j *journal, trouble bool) bool {
 	c := newCluster(j, 3)
 	defer c.stop()
-	e := newEngine(c, "i-1", 3)
 	done := make(chan struct{})
 	defer close(done)
+	e, sound := newEngine(c, "i-1", 3), newEngine(c, "i-2", 3)
 	e.beat(done)
-	c.putConfig(wire(`{"version":1,"routes":[{"name":"r1","host":"app.example","@prefix@":"/note/","kind":"streaming","timeoutMs":15000,"@aim@":1000,"priority":1,"service":"scribe","maxAttempts":2,"sessionAffinity":true,"resumable":true,"targetGapMs":300}],
+	sound.beat(done)
+	c.putConfig(wire(`{"version":1,"routes":[{"name":"r1","host":"app.example","@prefix@":"/note/","kind":"streaming","timeoutMs":25000,"@aim@":1000,"priority":1,"service":"scribe","maxAttempts":2,"sessionAffinity":true,"resumable":true,"targetGapMs":300}],
 	"services":[{"name":"scribe","healthPath":"/healthz","maxConnections":390,"protocol":"h1","tls":false,"engine":{"slots":64,"@kv@":131196,"kvBytes":131072,"linkMbps":280000.0,"moves":false,"backups":false,"stride":2,"maxCount":12,"models":[{"name":"base","modelSize":42700.0,"loadTimeS":2.5,"adapters":3000,"adapterMb":40.0,"warmS":0.78,"diskS":1.1}],"modelSize":45000.0,"@slots@":3,"loadsPerS":2.9}}],
 	"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`), 15*time.Second)
 	c.awaitReady(10 * time.Second)
@@ -254,7 +255,7 @@
 		n++
 		id := fmt.Sprint("q", n)
 		mu.Unlock()
-		a := send(to.front, http.MethodPost, "/note/draft", "app.example", id, fmt.Sprintf(wire("@model@: %s\r\n@tokens@: 60,%d\r\n@parts@: aaaa0001:30,5e55%s:30\r\n"), model, events, id), []byte("note "+id), 15*time.Second)
+		a := send(to.front, http.MethodPost, "/note/draft", "app.example", id, fmt.Sprintf(wire("@model@: %s\r\n@tokens@: 60,%d\r\n@parts@: aaaa0001:30,5e55%s:30\r\n"), model, events, id), []byte("note "+id), 25*time.Second)
 		if model != "base" {
 			j.note("client got for %s (%s, at %s): %s", id, model, to.name, a)
 		}
@@ -262,7 +263,7 @@
 	}
 	until := func(model string) {
 		for end := time.Now().Add(15 * time.Second); ; time.Sleep(100 * time.Millisecond) {
-			if a := request(c.daemons[0], model, 3); a.err == nil && a.status == 200 {
+			if a := request(c.daemons[0], model, 1); a.err == nil && a.status == 200 {
 				return
 			}
 			if time.Now().After(end) {
@@ -288,20 +289,29 @@
 			}
 		})
 	}
-	for _, a := range []string{"base/a1", "base/a2", "base/a3"} {
-		until(a)
+	// A long request runs on each adapter, so that all six places are in use.
+	for k := 1; k <= 6; k++ {
+		model := fmt.Sprint("base/a", k)
+		until(model)
+		wg.Go(func() { request(c.daemons[k%3], model, 900) })
+		time.Sleep(400 * time.Millisecond)
 	}
-	time.Sleep(4 * time.Second)
-	j.note("a long request for a1 begins")
-	wg.Go(func() { request(c.daemons[1], "base/a1", 400) })
-	time.Sleep(1500 * time.Millisecond)
+	time.Sleep(5 * time.Second)
 	e.mu.Lock()
-	e.newest["a1"], e.repeat = 2, trouble
+	name := ""
+	for held := range e.held {
+		name = held
+	}
+	full := len(e.held) == 3
+	e.newest[name], e.repeat = 2, trouble
 	e.mu.Unlock()
+	if !full {
+		fail("i-1 does not hold three adapters")
+	}
 	acked := false
 	for _, p := range c.daemons {
-		if status, _ := call(http.MethodPost, "http://"+p.control+wire("@version-put@"), `{"model":"base","adapter":"a1","version":2}`); status == 200 {
-			j.note("version 2 of a1 acknowledged by %s", p.name)
+		if status, _ := call(http.MethodPost, "http://"+p.control+wire("@version-put@"), fmt.Sprintf(`{"model":"base","adapter":%q,"version":2}`, name)); status == 200 {
+			j.note("version 2 of %s acknowledged by %s", name, p.name)
 			acked = true
 			break
 		}
@@ -311,10 +321,12 @@
 	}
 	time.Sleep(1500 * time.Millisecond)
 	for _, p := range c.daemons {
-		wg.Go(func() { request(p, "base/a4", 3) })
+		wg.Go(func() { request(p, "base/a7", 3) })
 	}
-	time.Sleep(6 * time.Second)
+	time.Sleep(5 * time.Second)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.overloaded
+	sound.mu.Lock()
+	defer sound.mu.Unlock()
+	return e.overloaded || sound.overloaded
 }
