--- a/core/coordination/membership/record.go
+++ b/core/coordination/membership/record.go
@@ -40,6 +40,9 @@
 	// Power is the CPU allowance in thousandths of a core; 0 if it is not
 	// configured.
 	Power uint32
+	// ReadsDepartures is false if the daemon runs an earlier version, which can't
+	// read departures in the replicated log.
+	ReadsDepartures bool
 	// Draining is set permanently once the daemon is about to end.
 	Draining bool
 	// ReachableUntil is when the last answer that advertised the address of a
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -9,7 +9,7 @@
 // Command is one of the types that [State.Apply] accepts: Change, Assign,
 // Revoke, Yield, Release, Begin, Finish, Abandon, MarkUnknown, FormWitnesses,
 // Orphan, Expire, Quarantine, PutRouting, NameVersion, AppointPlacer,
-// RetirePlacer or Batch.
+// RetirePlacer, Depart or Batch.
 type Command interface {
 	apply(s *State) Outcome
 }
@@ -144,8 +144,8 @@
 	Incarnation ident.Incarnation
 }
 
-// Expire deletes ledger entries whose deadline is at or before a wall time, and
-// quarantines that end by then.
+// Expire deletes ledger entries whose deadline is at or before a wall time,
+// quarantines that end by then, and departures up to it.
 type Expire struct {
 	// Until is never later than the wall time of any daemon minus its clock
 	// bound.
--- /dev/null
+++ b/core/state/departure.go
@@ -0,0 +1,122 @@
+package state
+
+import (
+	"cmp"
+	"time"
+
+	"papayaspoke/core/ident"
+	"papayaspoke/core/result"
+)
+
+// MaxDepartures is the maximum number of departures that are kept. Beyond it the
+// oldest one is dropped.
+const MaxDepartures = 1 << 14
+
+// Departure records which runs of an upstream have left for good. Reports of these
+// runs may still arrive.
+type Departure struct {
+	Upstream ident.Upstream
+	// Incarnation is the latest run that has left; earlier ones have as well.
+	Incarnation ident.Incarnation
+	// At is the wall time of the departure. An [Expire] deletes the record.
+	At time.Time
+}
+
+// Depart records a departure. It never takes back an earlier one.
+type Depart Departure
+
+// departureKey orders departures by age.
+type departureKey struct {
+	at       int64
+	upstream ident.Upstream
+}
+
+func (k departureKey) compare(o departureKey) int {
+	return cmp.Or(cmp.Compare(k.at, o.at), cmp.Compare(k.upstream, o.upstream))
+}
+
+func (d Departure) key() departureKey {
+	return departureKey{at: d.At.UnixNano(), upstream: d.Upstream}
+}
+
+// Departure returns the departure of an upstream, the zero value if none is known.
+func (v *View) Departure(name ident.Upstream) Departure {
+	d, _ := v.departures.Get(name)
+	return d
+}
+
+// HasLeft reports whether a run of an upstream has left.
+func (v *View) HasLeft(name ident.Upstream, i ident.Incarnation) bool {
+	d, ok := v.departures.Get(name)
+	return ok && i <= d.Incarnation
+}
+
+// CountDepartures returns the number of departures that are kept.
+func (v *View) CountDepartures() int { return v.departures.Len() }
+
+func (c Depart) apply(s *State) Outcome {
+	v := &s.view
+	if err := checkSize(result.Malformed, "upstream", string(c.Upstream), MaxName); err != nil {
+		return errorOutcome(err)
+	}
+	if c.Incarnation == 0 {
+		return errorOutcome(result.New(result.Malformed, "departure of %q without an incarnation", c.Upstream))
+	}
+	if !c.At.After(v.expiredUntil) {
+		return errorOutcome(result.New(result.ChangeRefused, "departure of %q at %s has expired", c.Upstream, c.At))
+	}
+	d := Departure(c)
+	if old, ok := v.departures.Get(c.Upstream); ok {
+		d.Incarnation = max(d.Incarnation, old.Incarnation)
+		if old.At.After(d.At) {
+			d.At = old.At
+		}
+	}
+	v.putDeparture(d)
+	if v.departures.Len() > MaxDepartures {
+		oldest, _, _ := v.departuresByAge.Min()
+		v.deleteDeparture(oldest.upstream)
+	}
+	return Outcome{}
+}
+
+// putDeparture stores d and updates the index by age.
+func (v *View) putDeparture(d Departure) {
+	v.deleteDeparture(d.Upstream)
+	v.departures = v.departures.Put(d.Upstream, d)
+	v.departuresByAge = v.departuresByAge.Put(d.key(), struct{}{})
+}
+
+// deleteDeparture removes the departure of an upstream, if any.
+func (v *View) deleteDeparture(name ident.Upstream) {
+	d, ok := v.departures.Get(name)
+	if !ok {
+		return
+	}
+	v.departures = v.departures.Delete(name)
+	v.departuresByAge = v.departuresByAge.Delete(d.key())
+}
+
+// expireDepartures deletes the departures up to expiredUntil.
+func (v *View) expireDepartures() {
+	for {
+		k, _, ok := v.departuresByAge.Min()
+		if !ok || k.at > v.expiredUntil.UnixNano() {
+			return
+		}
+		v.deleteDeparture(k.upstream)
+	}
+}
+
+// checkDepartures checks all departures and that the index by age matches them.
+func (v *View) checkDepartures() *result.Error {
+	if v.departures.Len() > MaxDepartures || v.departures.Len() != v.departuresByAge.Len() {
+		return damaged("%d departures, %d in the index by age", v.departures.Len(), v.departuresByAge.Len())
+	}
+	for name, d := range v.departures.All() {
+		if d.Upstream != name || d.Incarnation == 0 || !d.At.After(v.expiredUntil) || !v.departuresByAge.Has(d.key()) {
+			return damaged("departure of %q is invalid", name)
+		}
+	}
+	return nil
+}
--- a/core/state/ledger.go
+++ b/core/state/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"strings"
 	"time"
 
@@ -123,19 +124,23 @@
 // ExpiredUntil returns the latest time to which an Expire has deleted entries.
 func (v *View) ExpiredUntil() time.Time { return v.expiredUntil }
 
-// NextExpiry returns the earliest time among the deadlines of ledger entries
-// and the ends of quarantines, and whether there is any.
+// NextExpiry returns the earliest time among the deadlines of ledger entries, the
+// ends of quarantines and the times of departures, and whether there is any.
 func (v *View) NextExpiry() (time.Time, bool) {
-	d, _, ok := v.deadlines.Min()
-	at := time.Unix(0, d.at).UTC()
-	if v.quarantined.Len() == 0 {
-		return at, ok
+	var ends []time.Time
+	if d, _, ok := v.deadlines.Min(); ok {
+		ends = append(ends, time.Unix(0, d.at).UTC())
 	}
-	end := v.QuarantinedUntil(v.earliestQuarantine())
-	if ok && at.Before(end) {
-		return at, true
+	if d, _, ok := v.departuresByAge.Min(); ok {
+		ends = append(ends, time.Unix(0, d.at).UTC())
 	}
-	return end, true
+	if v.quarantined.Len() > 0 {
+		ends = append(ends, v.QuarantinedUntil(v.earliestQuarantine()))
+	}
+	if len(ends) == 0 {
+		return time.Time{}, false
+	}
+	return slices.MinFunc(ends, time.Time.Compare), true
 }
 
 // AttemptOwner identifies an incarnation of a daemon that has running attempts.
@@ -379,6 +384,7 @@
 			v.quarantined = v.quarantined.Delete(digest)
 		}
 	}
+	v.expireDepartures()
 	return Outcome{}
 }
 
--- a/core/state/model_test.go
+++ b/core/state/model_test.go
@@ -271,23 +271,30 @@
 		setClass("3", "urgent", 0, 500),
 		state.Assign{Upstream: "u", Owner: "d"},
 		state.Begin{Scope: "s", Key: "k", Digest: "x", Owner: "d", Attempt: "a", ProposedAt: noon, Deadline: noon.Add(1)},
+		state.Depart{Upstream: "u", Incarnation: 1, At: noon.Add(2)},
 	} {
 		assert.Equal(t, s.Apply(uint64(i+1), c).Code, result.OK)
 	}
 	cases := map[string]func(*state.Snapshot){
-		"missing model":      func(s *state.Snapshot) { s.Models = nil },
-		"missing adapter":    func(s *state.Snapshot) { s.Adapters = nil },
-		"repeated adapter":   func(s *state.Snapshot) { s.Adapters = append(s.Adapters, s.Adapters[0]) },
-		"target":             func(s *state.Snapshot) { s.Classes[0].Target = state.Milliseconds(1) },
-		"version":            func(s *state.Snapshot) { s.Version = 1 },
-		"fence":              func(s *state.Snapshot) { s.Owners[0].Fence = 99 },
-		"yielded":            func(s *state.Snapshot) { s.Owners[0].Yielded = true },
-		"repeated change id": func(s *state.Snapshot) { s.Records[0].Change.ID = "2" },
-		"sequence":           func(s *state.Snapshot) { s.Sequence = 1 },
-		"repeated entry":     func(s *state.Snapshot) { s.Entries = append(s.Entries, s.Entries[0]) },
-		"nil entry":          func(s *state.Snapshot) { s.Entries = append(s.Entries, nil) },
-		"phase":              func(s *state.Snapshot) { s.Entries[0] = &state.Entry{Key: s.Entries[0].Key, Attempt: "a"} },
-		"expired":            func(s *state.Snapshot) { s.Expired = noon.Add(1) },
+		"missing model":       func(s *state.Snapshot) { s.Models = nil },
+		"missing adapter":     func(s *state.Snapshot) { s.Adapters = nil },
+		"repeated adapter":    func(s *state.Snapshot) { s.Adapters = append(s.Adapters, s.Adapters[0]) },
+		"target":              func(s *state.Snapshot) { s.Classes[0].Target = state.Milliseconds(1) },
+		"version":             func(s *state.Snapshot) { s.Version = 1 },
+		"fence":               func(s *state.Snapshot) { s.Owners[0].Fence = 99 },
+		"yielded":             func(s *state.Snapshot) { s.Owners[0].Yielded = true },
+		"repeated change id":  func(s *state.Snapshot) { s.Records[0].Change.ID = "2" },
+		"sequence":            func(s *state.Snapshot) { s.Sequence = 1 },
+		"repeated entry":      func(s *state.Snapshot) { s.Entries = append(s.Entries, s.Entries[0]) },
+		"nil entry":           func(s *state.Snapshot) { s.Entries = append(s.Entries, nil) },
+		"phase":               func(s *state.Snapshot) { s.Entries[0] = &state.Entry{Key: s.Entries[0].Key, Attempt: "a"} },
+		"expired":             func(s *state.Snapshot) { s.Expired = noon.Add(1) },
+		"departure of no run": func(s *state.Snapshot) { s.Departures[0].Incarnation = 0 },
+		"repeated departure": func(s *state.Snapshot) {
+			s.Departures = append(s.Departures, state.Departure{Upstream: "u", Incarnation: 1, At: noon.Add(-1)})
+			s.Expired = noon
+		},
+		"expired departure": func(s *state.Snapshot) { s.Entries, s.Expired = nil, noon.Add(2) },
 	}
 	for name, damage := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -52,6 +52,7 @@
 	Routing            Routing
 	NamedVersions      []NamedVersion
 	Placer             Placer
+	Departures         []Departure
 }
 
 // Export returns the whole state. It may run while the State that the view was
@@ -75,6 +76,7 @@
 		Routing:            v.routing,
 		NamedVersions:      v.NamedVersions(),
 		Placer:             v.placer,
+		Departures:         v.departures.Values(),
 	}
 	for name, version := range v.drained.All() {
 		s.Drained = append(s.Drained, Drained{Name: name, Version: version})
@@ -107,6 +109,9 @@
 		}
 		v.putEntry(e)
 	}
+	for _, d := range s.Departures {
+		v.putDeparture(d)
+	}
 	if err := st.Check(); err != nil {
 		return nil, err
 	}
@@ -167,7 +172,7 @@
 
 // Check returns an error if an invariant of the state is violated.
 func (v *View) Check() error {
-	if err := firstError(v.checkCatalogue(), v.checkVersions(), v.checkControl(), v.checkRoutingAndPlacer(), v.checkLedger()); err != nil {
+	if err := firstError(v.checkCatalogue(), v.checkVersions(), v.checkControl(), v.checkRoutingAndPlacer(), v.checkLedger(), v.checkDepartures()); err != nil {
 		return err
 	}
 	return nil
--- a/core/state/view.go
+++ b/core/state/view.go
@@ -119,6 +119,10 @@
 	routing       Routing
 	namedVersions ordered.Map[namedVersionKey, uint64]
 	placer        Placer
+
+	departures ordered.Map[ident.Upstream, Departure]
+	// departuresByAge indexes all departures by age.
+	departuresByAge ordered.Map[departureKey, struct{}]
 }
 
 func newView() View {
@@ -137,6 +141,8 @@
 		running:         ordered.New[runningKey, struct{}](runningKey.compare),
 		quarantined:     ordered.New[string, time.Time](cmp.Compare),
 		namedVersions:   ordered.New[namedVersionKey, uint64](compareNamedVersionKeys),
+		departures:      ordered.New[ident.Upstream, Departure](cmp.Compare),
+		departuresByAge: ordered.New[departureKey, struct{}](departureKey.compare),
 	}
 }
 
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -94,13 +94,11 @@
 	// other daemons, by token. lastToken is the last token used.
 	witnessReplies map[uint64]chan<- witness.Response
 	gossipReplies  map[uint64]chan<- membership.Response
-	// replications holds what to run once a replication ends, by token.
-	replications map[uint64]func(ok bool)
-	// safeDepartures are the runs of upstreams whose departure is known to outlive
-	// this daemon.
-	safeDepartures map[ident.Upstream]ident.Incarnation
 	lastToken      uint64
 
+	// startedAt is when this process started.
+	startedAt time.Time
+
 	// nextWitnessAt is when the next witness may be proposed, and
 	// directoryRefreshedAt when the records of owned replicas were last copied
 	// to the directory.
--- a/io/daemon/departure.go
+++ b/io/daemon/departure.go
@@ -7,49 +7,72 @@
 	"papayaspoke/core/coordination/membership"
 	"papayaspoke/core/ident"
 	"papayaspoke/core/result"
+	"papayaspoke/core/state"
 )
 
-// ensureDeparture returns once the departure of an upstream, if it leaves, is known
-// to enough other daemons that the loss of this one does not undo it. An error
-// means that the departure must not be acknowledged.
-func (d *Daemon) ensureDeparture(ctx context.Context, name ident.Upstream) error {
-	safe := make(chan bool, 1)
-	if err := d.ctl.call(ctx, func(now time.Time) { d.ctl.replicateDeparture(now, name, safe) }); err != nil {
+// departureTimeout limits the commit of a departure. Upstreams wait for an
+// acknowledgement for a second.
+const departureTimeout = 800 * time.Millisecond
+
+// recordDeparture runs f on the control loop and commits the departure that it
+// returns to the replicated log, unless the log has it already. An error means that
+// the departure must not be acknowledged.
+func (d *Daemon) recordDeparture(ctx context.Context, f func(now time.Time) state.Departure) error {
+	var departure state.Departure
+	var recorded, readable bool
+	err := d.ctl.call(ctx, func(now time.Time) {
+		departure = f(now)
+		recorded = departure.Upstream == "" || d.ctl.view.HasLeft(departure.Upstream, departure.Incarnation)
+		readable = d.ctl.departuresReadable()
+	})
+	switch {
+	case err != nil:
 		return result.New(result.Draining, "%w", err)
-	}
-	select {
-	case ok := <-safe:
-		if !ok {
-			return result.New(result.NotFresh, "too few daemons know of the departure of %q", name)
-		}
+	case recorded:
 		return nil
-	case <-ctx.Done():
-		return result.New(result.NotFresh, "departure of %q: %w", name, ctx.Err())
+	case !readable:
+		return result.New(result.NotFresh, "departure of %q: daemons of an earlier version can't read it", departure.Upstream)
+	}
+	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
+	defer cancel()
+	a, err := d.proposer.propose(ctx, state.Depart(departure))
+	if err != nil {
+		return result.New(result.NotFresh, "departure of %q: %w", departure.Upstream, err)
+	}
+	if a.outcome.Code != result.OK {
+		return result.New(result.NotFresh, "departure of %q: %w", departure.Upstream, a.outcome.Err())
 	}
+	return nil
 }
 
-// replicateDeparture copies the record of an upstream that leaves to other daemons
-// and reports whether enough of them have it. Nothing needs to be copied if the
-// upstream does not leave, or if they have it already.
-func (c *control) replicateDeparture(now time.Time, name ident.Upstream, safe chan<- bool) {
-	u, known := c.members.Upstream(name)
-	if !known || !u.Leaving || c.safeDepartures[name] == u.Version.Incarnation {
-		safe <- true
-		return
-	}
-	c.lastToken++
-	c.replications[c.lastToken] = func(ok bool) {
-		if ok {
-			c.safeDepartures[name] = u.Version.Incarnation
+// discoveryTime is how long a daemon that has just started may not know others: a few
+// rounds of gossip.
+const discoveryTime = time.Second
+
+// departuresReadable reports whether all known daemons can read a departure in the
+// log. One that can't would stop.
+func (c *control) departuresReadable() bool {
+	for _, m := range c.members.Daemons() {
+		if !m.ReadsDepartures {
+			return false
 		}
-		safe <- ok
 	}
-	c.stepMembers(now, membership.Replicate{Token: c.lastToken, Upstream: name})
+	return true
+}
+
+// upstreams returns the known upstreams. One that has left according to the log is
+// leaving, whatever its record says: an older report may have arrived late.
+func (c *control) upstreams() []membership.Upstream {
+	out := c.members.Upstreams()
+	for i, u := range out {
+		out[i].Leaving = u.Leaving || c.view.HasLeft(u.Name, u.Version.Incarnation)
+	}
+	return out
 }
 
-// replicated ends a replication.
-func (c *control) replicated(token uint64, ok bool) {
-	done := c.replications[token]
-	delete(c.replications, token)
-	done(ok)
+// upstream returns one of upstreams.
+func (c *control) upstream(name ident.Upstream) (membership.Upstream, bool) {
+	u, ok := c.members.Upstream(name)
+	u.Leaving = u.Leaving || ok && c.view.HasLeft(name, u.Version.Incarnation)
+	return u, ok
 }
--- a/io/daemon/members.go
+++ b/io/daemon/members.go
@@ -21,7 +21,7 @@
 	own := membership.Daemon{
 		Name: d.self, Version: membership.Version{Incarnation: d.inc},
 		Caller: s.AdvertisedCaller().String(), Peer: s.AdvertisedPeer().String(), Operator: s.Operator().String(),
-		DataCentre: d.dataCentre, Disk: s.DataFolder(),
+		DataCentre: d.dataCentre, Disk: s.DataFolder(), ReadsDepartures: true,
 	}
 	seeds := make([]string, 0, len(s.Peers()))
 	for _, p := range s.Peers() {
@@ -47,10 +47,6 @@
 			delete(c.gossipReplies, e.Token)
 		case membership.ProbeNewConnection:
 			c.send.probe(e.Daemon, e.Address)
-		case membership.Replicated:
-			c.replicated(e.Token, true)
-		case membership.ReplicationFailed:
-			c.replicated(e.Token, false)
 		case membership.Changed:
 			// Hundreds of reports can arrive per second, so the tables are
 			// rebuilt at most once per tick.
@@ -148,7 +144,7 @@
 
 // upstreamsChanged updates the routing tables from the records of upstreams.
 func (c *control) upstreamsChanged(now time.Time) {
-	upstreams := c.members.Upstreams()
+	upstreams := c.upstreams()
 	c.upstreamTable = make(map[ident.Upstream]upstreamInfo, len(upstreams))
 	removed := c.knownUpstreams
 	c.knownUpstreams = make(map[ident.Upstream]bool, len(upstreams))
@@ -168,7 +164,6 @@
 	for name := range removed {
 		c.services.Remove(name)
 		c.directory.Remove(name)
-		delete(c.safeDepartures, name)
 	}
 	c.replicasChanged(now)
 }
--- a/io/daemon/open.go
+++ b/io/daemon/open.go
@@ -71,11 +71,14 @@
 }
 
 // mayCommit reports whether this leader may commit a command. In an open
-// cluster, commands that are acknowledged to an operator wait until enough
-// disks vote.
-func (c *control) mayCommit(cmd state.Command) bool {
+// cluster, commands that are acknowledged to an operator or a replica wait until
+// enough disks vote. Departures also wait until all daemons can read them.
+func (c *control) mayCommit(now time.Time, cmd state.Command) bool {
+	if _, ok := cmd.(state.Depart); ok && (now.Before(c.startedAt.Add(discoveryTime)) || !c.departuresReadable()) {
+		return false
+	}
 	switch cmd.(type) {
-	case state.PutRouting, state.NameVersion:
+	case state.PutRouting, state.NameVersion, state.Depart:
 		complete := c.view.Routing().Version > 0
 		return !c.openCluster || enoughVoters(complete, c.voter.node.Members().Voters(), c.members.Daemons(),
 			func(name ident.Daemon) bool { return !c.members.Unreachable(name) })
--- a/io/daemon/owner.go
+++ b/io/daemon/owner.go
@@ -72,7 +72,7 @@
 			Suspect: c.members.Unreachable(d.Name), Stale: stale,
 		})
 	}
-	for _, u := range c.members.Upstreams() {
+	for _, u := range c.upstreams() {
 		if u.Kind == membership.Engine {
 			out.Upstreams = append(out.Upstreams, ownership.Upstream{
 				Name: u.Name, Incarnation: u.Version.Incarnation, DataCentre: u.DataCentre, Leaving: u.Leaving,
--- a/io/daemon/placer.go
+++ b/io/daemon/placer.go
@@ -144,7 +144,7 @@
 	t := c.placementState.table
 	var rs []balance.Replica
 	var ps []placement.Replica
-	for _, u := range latestPerAddress(c.members.Upstreams()) {
+	for _, u := range latestPerAddress(c.upstreams()) {
 		rs = append(rs, balance.Replica{
 			Name: u.Name, Incarnation: u.Version.Incarnation, Service: u.Service, Address: u.Address,
 			DataCentre: u.DataCentre, Slots: int(u.Slots), Leaving: u.Leaving,
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -232,36 +232,39 @@
 }
 
 // Announce applies a replica's announcement. Once it returns without an error,
-// the announcement is being spread to the other daemons, and one of a replica that
-// leaves is known to enough of them.
+// the announcement is being spread to the other daemons, and a departure is in the
+// replicated log. The error code is [result.NotFresh] if it could not be committed in
+// time.
 func (p *Platform) Announce(ctx context.Context, a Announcement) error {
-	if err := p.d.ctl.call(ctx, func(now time.Time) { p.d.ctl.announcementReceived(now, a) }); err != nil {
-		return result.New(result.Draining, "%w", err)
-	}
-	if !a.Leaving {
-		return nil
-	}
-	return p.d.ensureDeparture(ctx, a.Replica)
+	return p.d.recordDeparture(ctx, func(now time.Time) state.Departure {
+		p.d.ctl.announcementReceived(now, a)
+		if !a.Leaving {
+			return state.Departure{}
+		}
+		return state.Departure{Upstream: a.Replica, Incarnation: a.Incarnation, At: now.Round(0)}
+	})
 }
 
 // Leave records that a replica accepts no more work. Once it returns without an
-// error, enough other daemons know of it. The error code is [result.NotFresh] if
-// too few confirm it in time, or if this daemon has just started and may not know
-// the replica yet.
+// error, its departure is in the replicated log. The error code is [result.NotFresh]
+// if it could not be committed in time, or if this daemon has just started and may
+// not know the replica yet.
 func (p *Platform) Leave(ctx context.Context, name ident.Upstream) error {
-	var unsure bool
-	err := p.d.ctl.call(ctx, func(now time.Time) {
-		p.d.ctl.leaveReceived(now, name)
-		_, known := p.d.ctl.members.Upstream(name)
-		unsure = !known && p.d.ctl.members.Joining(now)
+	unsure := false
+	err := p.d.recordDeparture(ctx, func(now time.Time) state.Departure {
+		c := p.d.ctl
+		c.leaveReceived(now, name)
+		u, known := c.members.Upstream(name)
+		if !known {
+			unsure = c.members.Joining(now)
+			return state.Departure{}
+		}
+		return state.Departure{Upstream: name, Incarnation: u.Version.Incarnation, At: now.Round(0)}
 	})
-	switch {
-	case err != nil:
-		return result.New(result.Draining, "%w", err)
-	case unsure:
+	if unsure {
 		return result.New(result.NotFresh, "replica %q is not known to this daemon, which has just started", name)
 	}
-	return p.d.ensureDeparture(ctx, name)
+	return err
 }
 
 // leaveSequence is added to the sequence number of a replica that leaves, so
@@ -274,14 +277,14 @@
 	u := membership.Upstream{
 		Name: a.Replica, Version: membership.Version{Incarnation: a.Incarnation, Sequence: a.Sequence},
 		Kind: membership.Routed, Service: a.Service, Address: a.Address, DataCentre: a.DataCentre,
-		Slots: uint32(max(a.Slots, 0)), Leaving: a.Leaving, Deadline: now.Add(announcementTTL),
+		Slots: uint32(max(a.Slots, 0)), Leaving: a.Leaving || c.view.HasLeft(a.Replica, a.Incarnation), Deadline: now.Add(announcementTTL),
 	}
 	old, known := c.members.Upstream(a.Replica)
 	if known && old.Version.Compare(u.Version) >= 0 {
 		return
 	}
 	if !known || old.Leaving != u.Leaving || old.Version.Incarnation != u.Version.Incarnation {
-		c.log.Info("replica announced", "replica", a.Replica, "service", a.Service, "address", a.Address, "leaving", a.Leaving, "incarnation", uint64(a.Incarnation))
+		c.log.Info("replica announced", "replica", a.Replica, "service", a.Service, "address", a.Address, "leaving", u.Leaving, "incarnation", uint64(a.Incarnation))
 	}
 	c.stepMembers(now, membership.Announce{Upstream: u})
 	if t := c.placementState.table; t != nil && t.Service(a.Service) != nil && t.Service(a.Service).Engine != nil {
@@ -343,7 +346,7 @@
 
 // updateTable puts a newly committed routing document in force. A daemon that has
 // just started and is behind the log waits, since it may be reading through old
-// documents.
+// documents. It begins to serve without the upstreams that have left.
 func (c *control) updateTable(now time.Time) {
 	if c.platform == nil {
 		return
@@ -352,6 +355,9 @@
 	if behind && now.Sub(l.Since) < maxStartLag && c.platform.version.Load() == 0 {
 		return
 	}
+	if c.membersDirty && c.platform.version.Load() == 0 && c.view.Routing().Version > 0 {
+		c.membersChanged(now)
+	}
 	c.platform.setDocument(c.view.Routing())
 }
 
--- a/io/daemon/upstreams.go
+++ b/io/daemon/upstreams.go
@@ -10,6 +10,7 @@
 	"papayaspoke/core/coordination/membership"
 	"papayaspoke/core/ident"
 	"papayaspoke/core/result"
+	"papayaspoke/core/state"
 	"papayaspoke/io/protocol/caller"
 	"papayaspoke/io/protocol/peer"
 	"papayaspoke/io/protocol/upstream"
@@ -37,7 +38,7 @@
 		u.Kind = membership.PlainService
 	}
 	return d.updateUpstream(ctx, a.Name, func(now time.Time) bool {
-		old, ok := d.ctl.members.Upstream(a.Name)
+		old, ok := d.ctl.upstream(a.Name)
 		if !ok || old.Version.Incarnation != a.Incarnation {
 			d.ctl.announceUpstream(now, u)
 		}
@@ -48,7 +49,7 @@
 // handleRefresh applies a report of a known upstream.
 func (d *Daemon) handleRefresh(ctx context.Context, r upstream.Report) (upstream.DaemonReply, error) {
 	return d.updateUpstream(ctx, r.Name, func(now time.Time) bool {
-		u, ok := d.ctl.members.Upstream(r.Name)
+		u, ok := d.ctl.upstream(r.Name)
 		if !ok || u.Version.Incarnation != r.Incarnation {
 			return false
 		}
@@ -74,7 +75,7 @@
 }
 
 // handleLeave marks an upstream as leaving, which stops new work for it.
-// It returns once enough other daemons know of it.
+// It returns once the departure is in the replicated log.
 func (d *Daemon) handleLeave(ctx context.Context, l upstream.Leaving) (upstream.DaemonReply, error) {
 	reply, err := d.updateUpstream(ctx, l.Name, func(now time.Time) bool {
 		u, ok := d.ctl.members.Upstream(l.Name)
@@ -89,7 +90,9 @@
 	if err != nil || !reply.Known {
 		return reply, err
 	}
-	return reply, d.ensureDeparture(ctx, l.Name)
+	return reply, d.recordDeparture(ctx, func(now time.Time) state.Departure {
+		return state.Departure{Upstream: l.Name, Incarnation: l.Incarnation, At: now.Round(0)}
+	})
 }
 
 // announceUpstream creates a new version of an upstream's record. The sequence
--- a/io/daemon/voter.go
+++ b/io/daemon/voter.go
@@ -95,7 +95,7 @@
 // propose proposes a command if this daemon leads.
 func (c *control) propose(now time.Time, cmd state.Command, data []byte) <-chan proposalResult {
 	reply := make(chan proposalResult, 1)
-	if c.voter == nil || !c.mayCommit(cmd) {
+	if c.voter == nil || !c.mayCommit(now, cmd) {
 		reply <- proposalResult{code: result.NoLeader, leader: c.leader}
 		return reply
 	}
--- a/io/daemon/witness.go
+++ b/io/daemon/witness.go
@@ -92,14 +92,17 @@
 	c.placementState.history.Observe(now, c.state.View().Placer())
 	c.proposals.applied(e.Index, o)
 	c.applyVerdicts(now, cmd)
-	c.noteOwnerChange(cmd)
+	c.noteRoutingChange(cmd)
 	return true
 }
 
-// noteOwnerChange schedules a rebuild of the routing tables after commands that
-// change ownership.
-func (c *control) noteOwnerChange(cmd state.Command) {
-	switch cmd.(type) {
+// noteRoutingChange schedules a rebuild of the routing tables after commands that
+// change the ownership of upstreams or record their departure.
+func (c *control) noteRoutingChange(cmd state.Command) {
+	switch cmd := cmd.(type) {
+	case state.Depart:
+		c.log.Info("departure in force", "upstream", cmd.Upstream, "incarnation", uint64(cmd.Incarnation))
+		c.membersDirty = true
 	case state.Assign, state.Revoke, state.Yield, state.Release:
 		c.membersDirty = true
 	}
--- a/io/protocol/peer/membership.go
+++ b/io/protocol/peer/membership.go
@@ -179,6 +179,7 @@
 		Sequence:    d.Version.Sequence,
 		Front:       d.Front,
 		Power:       d.Power,
+		Departures:  d.ReadsDepartures,
 		Caller:      d.Caller,
 		Peer:        d.Peer,
 		Operator:    d.Operator,
@@ -200,19 +201,20 @@
 		return membership.Daemon{}, result.New(result.Malformed, "daemon %q has no name, no incarnation or no address", m.GetName())
 	}
 	d := membership.Daemon{
-		Name:       ident.Daemon(m.GetName()),
-		Version:    membership.Version{Incarnation: ident.Incarnation(m.GetIncarnation()), Sequence: m.GetSequence()},
-		Caller:     m.GetCaller(),
-		Front:      m.GetFront(),
-		Power:      m.GetPower(),
-		Peer:       m.GetPeer(),
-		Operator:   m.GetOperator(),
-		DataCentre: ident.DataCentre(m.GetCentre()),
-		Draining:   m.GetDraining(),
-		Disk:       m.GetDisk(),
-		Waiting:    m.GetWaiting(),
-		Running:    m.GetRunning(),
-		Deadline:   deadlineAfter(now, m.GetLeft()),
+		Name:            ident.Daemon(m.GetName()),
+		Version:         membership.Version{Incarnation: ident.Incarnation(m.GetIncarnation()), Sequence: m.GetSequence()},
+		Caller:          m.GetCaller(),
+		Front:           m.GetFront(),
+		Power:           m.GetPower(),
+		ReadsDepartures: m.GetDepartures(),
+		Peer:            m.GetPeer(),
+		Operator:        m.GetOperator(),
+		DataCentre:      ident.DataCentre(m.GetCentre()),
+		Draining:        m.GetDraining(),
+		Disk:            m.GetDisk(),
+		Waiting:         m.GetWaiting(),
+		Running:         m.GetRunning(),
+		Deadline:        deadlineAfter(now, m.GetLeft()),
 	}
 	if d.Draining {
 		d.ReachableUntil = deadlineAfter(now, m.GetReachable())
--- a/io/protocol/peer/state_test.go
+++ b/io/protocol/peer/state_test.go
@@ -121,6 +121,9 @@
 		return state.FormWitnesses{Names: []ident.Daemon{ident.Daemon(drawName(t)), ident.Daemon(drawName(t))}}
 	},
 	func(t *rapid.T) state.Command { return state.Quarantine{Digest: drawName(t), Until: drawTime(t)} },
+	func(t *rapid.T) state.Command {
+		return state.Depart{Upstream: ident.Upstream(drawName(t)), Incarnation: ident.Incarnation(drawNumber(t)), At: drawTime(t)}
+	},
 }
 
 func drawCommand(t *rapid.T) state.Command {
--- a/io/protocol/peer/stateplatform.go
+++ b/io/protocol/peer/stateplatform.go
@@ -6,8 +6,8 @@
 	"papayaspoke/io/protocol/peer/peerpb"
 )
 
-// platformToWire maps the commands of routing and placement; ok is false for
-// any other command.
+// platformToWire maps the commands of routing, placement and departures; ok is
+// false for any other command.
 func platformToWire(c state.Command) (p *peerpb.Command, ok bool) {
 	switch c := c.(type) {
 	case state.PutRouting:
@@ -25,6 +25,8 @@
 			return &peerpb.Command{Kind: &peerpb.Command_ResignPlacer{ResignPlacer: uint64(c.Fence)}}, true
 		}
 		return &peerpb.Command{Kind: &peerpb.Command_RetirePlacer{RetirePlacer: uint64(c.Fence)}}, true
+	case state.Depart:
+		return &peerpb.Command{Kind: &peerpb.Command_Depart{Depart: departureToWire(state.Departure(c))}}, true
 	}
 	return nil, false
 }
@@ -44,6 +46,8 @@
 		return state.RetirePlacer{Fence: ident.Fence(k.RetirePlacer)}, true
 	case *peerpb.Command_ResignPlacer:
 		return state.RetirePlacer{Fence: ident.Fence(k.ResignPlacer), Resigned: true}, true
+	case *peerpb.Command_Depart:
+		return state.Depart(departureFromWire(k.Depart)), true
 	}
 	return nil, false
 }
@@ -70,3 +74,13 @@
 		Resigned: p.GetResigned(),
 	}
 }
+
+func departureToWire(d state.Departure) *peerpb.Departure {
+	return &peerpb.Departure{Upstream: string(d.Upstream), Incarnation: uint64(d.Incarnation), At: timeToWire(d.At)}
+}
+
+func departureFromWire(p *peerpb.Departure) state.Departure {
+	return state.Departure{
+		Upstream: ident.Upstream(p.GetUpstream()), Incarnation: ident.Incarnation(p.GetIncarnation()), At: timeFromWire(p.GetAt()),
+	}
+}
--- a/io/protocol/peer/statesnapshot.go
+++ b/io/protocol/peer/statesnapshot.go
@@ -40,6 +40,7 @@
 		Routing:        &peerpb.Routing{Version: s.Routing.Version, Document: s.Routing.Document},
 		Namings:        mapSlice(s.NamedVersions, namingToWire),
 		Placer:         placerToWire(s.Placer),
+		Departures:     mapSlice(s.Departures, departureToWire),
 	}
 	for _, d := range s.Drained {
 		p.Drained = append(p.Drained, &peerpb.VersionedDaemon{Name: string(d.Name), Version: d.Version})
@@ -83,6 +84,7 @@
 		Routing:            state.Routing{Version: p.GetRouting().GetVersion(), Document: p.GetRouting().GetDocument()},
 		NamedVersions:      mapSlice(p.GetNamings(), namingFromWire),
 		Placer:             placerFromWire(p.GetPlacer()),
+		Departures:         mapSlice(p.GetDepartures(), departureFromWire),
 	}
 	for _, d := range p.GetDrained() {
 		s.Drained = append(s.Drained, state.Drained{Name: ident.Daemon(d.GetName()), Version: d.GetVersion()})
