--- a/core/state/command.go
+++ b/core/state/command.go
@@ -9,7 +9,7 @@
 // Command is one of the types that [State.Apply] accepts: Change, Assign,
 // Revoke, Yield, Release, Begin, Finish, Abandon, MarkUnknown, FormWitnesses,
 // Orphan, Expire, Quarantine, PutRouting, NameVersion, AppointPlacer,
-// RetirePlacer, Depart or Batch.
+// RetirePlacer, Depart, Readmit or Batch.
 type Command interface {
 	apply(s *State) Outcome
 }
--- a/core/state/departure.go
+++ b/core/state/departure.go
@@ -16,8 +16,12 @@
 // runs may still arrive.
 type Departure struct {
 	Upstream ident.Upstream
-	// Incarnation is the latest run that has left; earlier ones have as well.
+	// Incarnation is the latest run that is known to have left, 0 if none is. Earlier
+	// ones have left as well.
 	Incarnation ident.Incarnation
+	// Presumed is the latest run that may have been meant when the upstream was
+	// deregistered by its name, 0 if it was not. A [Readmit] may lower it.
+	Presumed ident.Incarnation
 	// At is the wall time of the departure. An [Expire] deletes the record.
 	At time.Time
 }
@@ -25,6 +29,13 @@
 // Depart records a departure. It never takes back an earlier one.
 type Depart Departure
 
+// Readmit records that a run was only presumed to have left. It does nothing if the
+// run is known to have left.
+type Readmit struct {
+	Upstream    ident.Upstream
+	Incarnation ident.Incarnation
+}
+
 // departureKey orders departures by age.
 type departureKey struct {
 	at       int64
@@ -48,9 +59,12 @@
 // HasLeft reports whether a run of an upstream has left.
 func (v *View) HasLeft(name ident.Upstream, i ident.Incarnation) bool {
 	d, ok := v.departures.Get(name)
-	return ok && i <= d.Incarnation
+	return ok && i <= d.Last()
 }
 
+// Last returns the latest run that has left or is presumed to have left.
+func (d Departure) Last() ident.Incarnation { return max(d.Incarnation, d.Presumed) }
+
 // CountDepartures returns the number of departures that are kept.
 func (v *View) CountDepartures() int { return v.departures.Len() }
 
@@ -59,7 +73,7 @@
 	if err := checkSize(result.Malformed, "upstream", string(c.Upstream), MaxName); err != nil {
 		return errorOutcome(err)
 	}
-	if c.Incarnation == 0 {
+	if Departure(c).Last() == 0 {
 		return errorOutcome(result.New(result.Malformed, "departure of %q without an incarnation", c.Upstream))
 	}
 	if !c.At.After(v.expiredUntil) {
@@ -68,6 +82,7 @@
 	d := Departure(c)
 	if old, ok := v.departures.Get(c.Upstream); ok {
 		d.Incarnation = max(d.Incarnation, old.Incarnation)
+		d.Presumed = max(d.Presumed, old.Presumed)
 		if old.At.After(d.At) {
 			d.At = old.At
 		}
@@ -80,6 +95,20 @@
 	return Outcome{}
 }
 
+func (c Readmit) apply(s *State) Outcome {
+	v := &s.view
+	d, ok := v.departures.Get(c.Upstream)
+	if !ok || c.Incarnation <= d.Incarnation || c.Incarnation > d.Presumed {
+		return Outcome{}
+	}
+	if d.Presumed = c.Incarnation - 1; d.Last() == 0 {
+		v.deleteDeparture(c.Upstream)
+		return Outcome{}
+	}
+	v.putDeparture(d)
+	return Outcome{}
+}
+
 // putDeparture stores d and updates the index by age.
 func (v *View) putDeparture(d Departure) {
 	v.deleteDeparture(d.Upstream)
@@ -114,7 +143,7 @@
 		return damaged("%d departures, %d in the index by age", v.departures.Len(), v.departuresByAge.Len())
 	}
 	for name, d := range v.departures.All() {
-		if d.Upstream != name || d.Incarnation == 0 || !d.At.After(v.expiredUntil) || !v.departuresByAge.Has(d.key()) {
+		if d.Upstream != name || d.Last() == 0 || !d.At.After(v.expiredUntil) || !v.departuresByAge.Has(d.key()) {
 			return damaged("departure of %q is invalid", name)
 		}
 	}
--- a/core/state/departure_test.go
+++ b/core/state/departure_test.go
@@ -17,6 +17,10 @@
 	depart := func(i ident.Incarnation, at time.Time) state.Command {
 		return state.Depart{Upstream: "u", Incarnation: i, At: at}
 	}
+	presume := func(i ident.Incarnation) state.Command {
+		return state.Depart{Upstream: "u", Presumed: i, At: noon}
+	}
+	readmit := func(i ident.Incarnation) state.Command { return state.Readmit{Upstream: "u", Incarnation: i} }
 	cases := map[string]struct {
 		commands []state.Command
 		code     result.Code
@@ -33,6 +37,15 @@
 		"kept":           {[]state.Command{depart(5, noon), state.Expire{Until: noon.Add(-1)}}, result.OK, 5},
 		"expired":        {[]state.Command{depart(5, noon), state.Expire{Until: noon}}, result.OK, 0},
 		"renewed":        {[]state.Command{depart(5, noon), depart(6, noon.Add(time.Hour)), state.Expire{Until: noon}}, result.OK, 6},
+		"presumed":       {[]state.Command{presume(5)}, result.OK, 5},
+		"presumed later": {[]state.Command{depart(5, noon), presume(8)}, result.OK, 8},
+		"known later":    {[]state.Command{presume(5), depart(8, noon)}, result.OK, 8},
+		"readmitted":     {[]state.Command{presume(8), readmit(6)}, result.OK, 5},
+		"readmitted all": {[]state.Command{presume(8), readmit(1)}, result.OK, 0},
+		"not readmitted": {[]state.Command{depart(5, noon), presume(8), readmit(5)}, result.OK, 8},
+		"back to known":  {[]state.Command{depart(5, noon), presume(8), readmit(6)}, result.OK, 5},
+		"readmitted new": {[]state.Command{presume(8), readmit(9)}, result.OK, 8},
+		"readmit nobody": {[]state.Command{readmit(3)}, result.OK, 0},
 		"too old":        {[]state.Command{state.Expire{Until: noon}, depart(5, noon)}, result.ChangeRefused, 0},
 	}
 	for name, tc := range cases {
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -98,6 +98,8 @@
 
 	// startedAt is when this process started.
 	startedAt time.Time
+	// doubtedRuns are the runs of known upstreams that may be readmitted.
+	doubtedRuns map[ident.Upstream]doubtedRun
 
 	// nextWitnessAt is when the next witness may be proposed, and
 	// directoryRefreshedAt when the records of owned replicas were last copied
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -209,6 +209,7 @@
 		clockAnchors:   make(map[ident.Upstream]anchor),
 		gossipReplies:  make(map[uint64]chan<- membership.Response),
 		startedAt:      now,
+		doubtedRuns:    make(map[ident.Upstream]doubtedRun),
 		dispatcher:     dispatch.New(d.self, dispatch.Default()),
 		directory:      routing.NewDirectory(routing.Default()),
 		services:       routing.NewServices(d.dataCentre),
--- a/io/daemon/departure.go
+++ b/io/daemon/departure.go
@@ -14,6 +14,17 @@
 // acknowledgement for a second.
 const departureTimeout = 800 * time.Millisecond
 
+const (
+	// maxClockDifference is how far the clock of a replica that no daemon knows may
+	// be ahead of this daemon's.
+	maxClockDifference = time.Second
+	// A run that is presumed to have left is readmitted if it reports as ready for
+	// at least readmitAfter, with as many as readmitReports reports. Reports from
+	// before a departure arrive seconds late.
+	readmitAfter   = 30 * time.Second
+	readmitReports = 10
+)
+
 // recordDeparture runs f on the control loop and commits the departure that it
 // returns to the replicated log, unless the log has it already. An error means that
 // the departure must not be acknowledged.
@@ -22,7 +33,7 @@
 	var recorded, readable bool
 	err := d.ctl.call(ctx, func(now time.Time) {
 		departure = f(now)
-		recorded = departure.Upstream == "" || d.ctl.view.HasLeft(departure.Upstream, departure.Incarnation)
+		recorded = departure.Upstream == "" || d.ctl.view.HasLeft(departure.Upstream, departure.Last())
 		readable = d.ctl.departuresReadable()
 	})
 	switch {
@@ -45,6 +56,61 @@
 	return nil
 }
 
+// deregistered returns the departure of a replica that is deregistered by its name
+// alone. Any run that has started until now may be meant: the first report of the
+// latest one may still be on its way to this daemon.
+func (c *control) deregistered(now time.Time, name ident.Upstream) state.Departure {
+	u, known := c.members.Upstream(name)
+	last := latestWall(now.Round(0), c.startedAt.Round(0).Add(now.Sub(c.startedAt)))
+	if !known {
+		last = last.Add(maxClockDifference)
+	}
+	return state.Departure{Upstream: name, Presumed: max(u.Version.Incarnation, startedAt(last)), At: now.Round(0)}
+}
+
+// startedAt returns the incarnation of a replica's run that starts at t.
+func startedAt(t time.Time) ident.Incarnation { return ident.Incarnation(t.UnixMilli()) }
+
+// latestWall returns the wall time, or steady, which is counted from the start of this
+// daemon, if the clock was set back since.
+func latestWall(wall, steady time.Time) time.Time {
+	if steady.After(wall) {
+		return steady
+	}
+	return wall
+}
+
+// doubtedRun is a run of a replica that is presumed to have left and yet reports.
+type doubtedRun struct {
+	incarnation ident.Incarnation
+	// sequence is that of its first report since.
+	sequence uint64
+	// readmitAt is when the run may be readmitted.
+	readmitAt time.Time
+}
+
+// reconsiderDeparture readmits a run that goes on reporting as ready although it is
+// presumed to have left: its clock is behind, or a deregistration of an earlier run
+// arrived late.
+func (c *control) reconsiderDeparture(now time.Time, a Announcement) {
+	d := c.view.Departure(a.Replica)
+	if a.Incarnation <= d.Incarnation || a.Incarnation > d.Presumed {
+		delete(c.doubtedRuns, a.Replica)
+		return
+	}
+	r, ok := c.doubtedRuns[a.Replica]
+	if !ok || r.incarnation != a.Incarnation || a.Sequence < r.sequence {
+		c.doubtedRuns[a.Replica] = doubtedRun{incarnation: a.Incarnation, sequence: a.Sequence, readmitAt: now.Add(readmitAfter)}
+		return
+	}
+	if now.Before(r.readmitAt) || a.Sequence-r.sequence < readmitReports {
+		return
+	}
+	delete(c.doubtedRuns, a.Replica)
+	c.log.Info("replica readmitted", "replica", a.Replica, "incarnation", uint64(a.Incarnation))
+	c.async.commit(state.Readmit{Upstream: a.Replica, Incarnation: a.Incarnation})
+}
+
 // discoveryTime is how long a daemon that has just started may not know others: a few
 // rounds of gossip.
 const discoveryTime = time.Second
--- a/io/daemon/departure_test.go
+++ b/io/daemon/departure_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -95,3 +96,102 @@
 	assert.NilError(t, err)
 	assert.Assert(t, readable())
 }
+
+// TestDeregistrationCoversAllRunsSoFar guards against a deregistration that names no run
+// and misses the one that was meant.
+func TestDeregistrationCoversAllRunsSoFar(t *testing.T) {
+	const ahead = 400 * time.Millisecond
+	d := newPlatformDaemon(t)
+	start := time.Now()
+	cases := map[string]struct {
+		// known is the run that this daemon knows, 0 if none.
+		known ident.Incarnation
+		// now is the daemon's time.
+		now time.Time
+		// left and served are the times of starts that must and must not be covered.
+		left, served time.Time
+	}{
+		"unknown":                  {0, start, start, start.Add(2 * time.Second)},
+		"unknown, clock ahead":     {0, start, start.Add(ahead), start.Add(2 * time.Second)},
+		"known":                    {startedAt(start.Add(-time.Hour)), start, start.Add(-time.Hour), start.Add(time.Second)},
+		"an earlier run is known":  {startedAt(start.Add(-time.Hour)), start, start, start.Add(time.Second)},
+		"known, clock far ahead":   {startedAt(start.Add(time.Hour)), start, start.Add(time.Hour), start.Add(time.Hour + time.Second)},
+		"after a minute of uptime": {0, start.Add(time.Minute), start.Add(time.Minute), start.Add(62 * time.Second)},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			u := ident.Upstream("u-" + strings.ReplaceAll(name, " ", "-"))
+			if tc.known != 0 {
+				report := Announcement{Replica: u, Incarnation: tc.known, Sequence: 1, Service: "s", Address: "127.0.0.1:1"}
+				assert.NilError(t, d.Platform().Announce(t.Context(), report))
+			}
+			var got state.Departure
+			assert.NilError(t, d.ctl.call(t.Context(), func(time.Time) {
+				d.ctl.startedAt = start
+				got = d.ctl.deregistered(tc.now, u)
+			}))
+			assert.Assert(t, got.Last() >= startedAt(tc.left), "%d is before %d", got.Last(), startedAt(tc.left))
+			assert.Assert(t, got.Last() < startedAt(tc.served), "%d is not before %d", got.Last(), startedAt(tc.served))
+		})
+	}
+}
+
+// TestClockSetBackDoesNotCount checks the time that bounds a deregistration after the
+// clock was set back or ahead.
+func TestClockSetBackDoesNotCount(t *testing.T) {
+	noon := time.Unix(1_700_000_000, 0)
+	assert.Equal(t, latestWall(noon.Add(-5*time.Second), noon), noon)
+	assert.Equal(t, latestWall(noon.Add(5*time.Second), noon), noon.Add(5*time.Second))
+}
+
+// TestReadmission checks which reports bring a run back that is presumed to have left.
+func TestReadmission(t *testing.T) {
+	const run = ident.Incarnation(100)
+	type report struct {
+		at          time.Duration
+		incarnation ident.Incarnation
+		sequence    uint64
+	}
+	// goOn returns one report each second.
+	goOn := func(i ident.Incarnation, first uint64, count int) (out []report) {
+		for n := range count {
+			out = append(out, report{time.Duration(n) * time.Second, i, first + uint64(n)})
+		}
+		return out
+	}
+	cases := map[string]struct {
+		departure state.Departure
+		reports   []report
+		want      bool
+	}{
+		"goes on":             {state.Departure{Presumed: 200}, goOn(run, 1, 32), true},
+		"did not go on":       {state.Departure{Presumed: 200}, goOn(run, 1, 29), false},
+		"known to have left":  {state.Departure{Incarnation: run, Presumed: 200}, goOn(run, 1, 60), false},
+		"has not left":        {state.Departure{Presumed: 99}, goOn(run, 1, 60), false},
+		"two late reports":    {state.Departure{Presumed: 200}, []report{{0, run, 8}, {time.Minute, run, 9}}, false},
+		"the same one twice":  {state.Departure{Presumed: 200}, []report{{0, run, 8}, {time.Minute, run, 8}}, false},
+		"reports out of turn": {state.Departure{Presumed: 200}, []report{{0, run, 30}, {20 * time.Second, run, 8}, {40 * time.Second, run, 29}}, false},
+		"runs in turn":        {state.Departure{Presumed: 200}, []report{{0, run, 1}, {20 * time.Second, run + 1, 1}, {40 * time.Second, run, 40}}, false},
+		"seldom to us":        {state.Departure{Presumed: 200}, []report{{0, run, 1}, {40 * time.Second, run, 30}}, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newPlatformDaemon(t)
+			tc.departure.Upstream, tc.departure.At = "u", time.Now()
+			deliver(t, d, 1, state.Depart(tc.departure))
+			var got []state.Command
+			assert.NilError(t, d.ctl.call(t.Context(), func(now time.Time) {
+				d.ctl.view = d.ctl.state.View()
+				d.ctl.async.commit = func(cmd state.Command) { got = append(got, cmd) }
+				for _, r := range tc.reports {
+					d.ctl.reconsiderDeparture(now.Add(r.at), Announcement{Replica: "u", Incarnation: r.incarnation, Sequence: r.sequence})
+				}
+			}))
+			var want []state.Command
+			if tc.want {
+				want = []state.Command{state.Readmit{Upstream: "u", Incarnation: run}}
+			}
+			assert.DeepEqual(t, got, want)
+		})
+	}
+}
--- a/io/daemon/open.go
+++ b/io/daemon/open.go
@@ -74,8 +74,11 @@
 // cluster, commands that are acknowledged to an operator or a replica wait until
 // enough disks vote. Departures also wait until all daemons can read them.
 func (c *control) mayCommit(now time.Time, cmd state.Command) bool {
-	if _, ok := cmd.(state.Depart); ok && (now.Before(c.startedAt.Add(discoveryTime)) || !c.departuresReadable()) {
-		return false
+	switch cmd.(type) {
+	case state.Depart, state.Readmit:
+		if now.Before(c.startedAt.Add(discoveryTime)) || !c.departuresReadable() {
+			return false
+		}
 	}
 	switch cmd.(type) {
 	case state.PutRouting, state.NameVersion, state.Depart:
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -214,9 +214,14 @@
 	return p.d.view.Load().state.Routing(), nil
 }
 
+// UnknownStart is the incarnation of replicas that do not tell when they started.
+const UnknownStart ident.Incarnation = 1
+
 // Announcement is a replica's announcement of its state.
 type Announcement struct {
-	Replica     ident.Upstream
+	Replica ident.Upstream
+	// Incarnation is the time of the replica's start in Unix milliseconds, or
+	// [UnknownStart].
 	Incarnation ident.Incarnation
 	// Sequence increases with each announcement of an incarnation.
 	Sequence   uint64
@@ -241,30 +246,21 @@
 		if !a.Leaving {
 			return state.Departure{}
 		}
+		if a.Incarnation == UnknownStart {
+			return state.Departure{Upstream: a.Replica, Presumed: a.Incarnation, At: now.Round(0)}
+		}
 		return state.Departure{Upstream: a.Replica, Incarnation: a.Incarnation, At: now.Round(0)}
 	})
 }
 
 // Leave records that a replica accepts no more work. Once it returns without an
 // error, its departure is in the replicated log. The error code is [result.NotFresh]
-// if it could not be committed in time, or if this daemon has just started and may
-// not know the replica yet.
+// if it could not be committed in time.
 func (p *Platform) Leave(ctx context.Context, name ident.Upstream) error {
-	unsure := false
-	err := p.d.recordDeparture(ctx, func(now time.Time) state.Departure {
-		c := p.d.ctl
-		c.leaveReceived(now, name)
-		u, known := c.members.Upstream(name)
-		if !known {
-			unsure = c.members.Joining(now)
-			return state.Departure{}
-		}
-		return state.Departure{Upstream: name, Incarnation: u.Version.Incarnation, At: now.Round(0)}
+	return p.d.recordDeparture(ctx, func(now time.Time) state.Departure {
+		p.d.ctl.leaveReceived(now, name)
+		return p.d.ctl.deregistered(now, name)
 	})
-	if unsure {
-		return result.New(result.NotFresh, "replica %q is not known to this daemon, which has just started", name)
-	}
-	return err
 }
 
 // leaveSequence is added to the sequence number of a replica that leaves, so
@@ -274,6 +270,9 @@
 // announcementReceived applies an announcement. One that is not newer than the
 // known record is ignored; that is not an error of the replica.
 func (c *control) announcementReceived(now time.Time, a Announcement) {
+	if !a.Leaving {
+		c.reconsiderDeparture(now, a)
+	}
 	u := membership.Upstream{
 		Name: a.Replica, Version: membership.Version{Incarnation: a.Incarnation, Sequence: a.Sequence},
 		Kind: membership.Routed, Service: a.Service, Address: a.Address, DataCentre: a.DataCentre,
--- a/io/daemon/witness.go
+++ b/io/daemon/witness.go
@@ -101,9 +101,9 @@
 func (c *control) noteRoutingChange(cmd state.Command) {
 	switch cmd := cmd.(type) {
 	case state.Depart:
-		c.log.Info("departure in force", "upstream", cmd.Upstream, "incarnation", uint64(cmd.Incarnation))
+		c.log.Info("departure in force", "upstream", cmd.Upstream, "incarnation", uint64(cmd.Incarnation), "presumed", uint64(cmd.Presumed))
 		c.membersDirty = true
-	case state.Assign, state.Revoke, state.Yield, state.Release:
+	case state.Assign, state.Revoke, state.Yield, state.Release, state.Readmit:
 		c.membersDirty = true
 	}
 }
--- a/io/protocol/peer/state_test.go
+++ b/io/protocol/peer/state_test.go
@@ -122,7 +122,13 @@
 	},
 	func(t *rapid.T) state.Command { return state.Quarantine{Digest: drawName(t), Until: drawTime(t)} },
 	func(t *rapid.T) state.Command {
-		return state.Depart{Upstream: ident.Upstream(drawName(t)), Incarnation: ident.Incarnation(drawNumber(t)), At: drawTime(t)}
+		return state.Depart{
+			Upstream: ident.Upstream(drawName(t)), Incarnation: ident.Incarnation(drawNumber(t)),
+			Presumed: ident.Incarnation(drawNumber(t)), At: drawTime(t),
+		}
+	},
+	func(t *rapid.T) state.Command {
+		return state.Readmit{Upstream: ident.Upstream(drawName(t)), Incarnation: ident.Incarnation(drawNumber(t))}
 	},
 }
 
--- a/io/protocol/peer/stateplatform.go
+++ b/io/protocol/peer/stateplatform.go
@@ -27,6 +27,10 @@
 		return &peerpb.Command{Kind: &peerpb.Command_RetirePlacer{RetirePlacer: uint64(c.Fence)}}, true
 	case state.Depart:
 		return &peerpb.Command{Kind: &peerpb.Command_Depart{Depart: departureToWire(state.Departure(c))}}, true
+	case state.Readmit:
+		return &peerpb.Command{Kind: &peerpb.Command_Readmit{Readmit: &peerpb.Readmission{
+			Upstream: string(c.Upstream), Incarnation: uint64(c.Incarnation),
+		}}}, true
 	}
 	return nil, false
 }
@@ -48,6 +52,10 @@
 		return state.RetirePlacer{Fence: ident.Fence(k.ResignPlacer), Resigned: true}, true
 	case *peerpb.Command_Depart:
 		return state.Depart(departureFromWire(k.Depart)), true
+	case *peerpb.Command_Readmit:
+		return state.Readmit{
+			Upstream: ident.Upstream(k.Readmit.GetUpstream()), Incarnation: ident.Incarnation(k.Readmit.GetIncarnation()),
+		}, true
 	}
 	return nil, false
 }
@@ -76,11 +84,14 @@
 }
 
 func departureToWire(d state.Departure) *peerpb.Departure {
-	return &peerpb.Departure{Upstream: string(d.Upstream), Incarnation: uint64(d.Incarnation), At: timeToWire(d.At)}
+	return &peerpb.Departure{
+		Upstream: string(d.Upstream), Incarnation: uint64(d.Incarnation), Presumed: uint64(d.Presumed), At: timeToWire(d.At),
+	}
 }
 
 func departureFromWire(p *peerpb.Departure) state.Departure {
 	return state.Departure{
-		Upstream: ident.Upstream(p.GetUpstream()), Incarnation: ident.Incarnation(p.GetIncarnation()), At: timeFromWire(p.GetAt()),
+		Upstream: ident.Upstream(p.GetUpstream()), Incarnation: ident.Incarnation(p.GetIncarnation()),
+		Presumed: ident.Incarnation(p.GetPresumed()), At: timeFromWire(p.GetAt()),
 	}
 }
