--- a/io/daemon/departure_test.go
+++ b/io/daemon/departure_test.go
@@ -13,6 +13,7 @@
 	"papayaspoke/core/result"
 	"papayaspoke/core/state"
 	"papayaspoke/io/protocol/peer"
+	"papayaspoke/io/protocol/upstream"
 )
 
 // deliver delivers a command as the committed log entry at an index.
@@ -144,6 +145,27 @@
 	assert.Equal(t, latestWall(noon.Add(5*time.Second), noon), noon.Add(5*time.Second))
 }
 
+// TestUnknownRunLeaves guards against the departure of a run that is acknowledged and not
+// kept since this daemon does not know the run: its announcement may be on its way.
+func TestUnknownRunLeaves(t *testing.T) {
+	d := newPlatformDaemon(t)
+	leaving := upstream.Leaving{Name: "e", Incarnation: 5}
+	_, err := d.handleLeave(t.Context(), leaving)
+	assert.Equal(t, result.CodeOf(err), result.NotFresh, "acknowledged without a log")
+	deliver(t, d, 1, state.Depart{Upstream: "e", Incarnation: 5, At: time.Now()})
+	time.Sleep(4 * tickInterval)
+	_, err = d.handleLeave(t.Context(), leaving)
+	assert.NilError(t, err)
+	late := upstream.Announcement{Name: "e", Incarnation: 5, Kind: upstream.ServiceKind, Service: "s", Address: "127.0.0.1:1"}
+	_, err = d.handleAnnounce(t.Context(), late)
+	assert.NilError(t, err)
+	assert.Assert(t, !takesWork(t, d, "e"))
+	late.Incarnation++
+	_, err = d.handleAnnounce(t.Context(), late)
+	assert.NilError(t, err)
+	assert.Assert(t, takesWork(t, d, "e"))
+}
+
 // TestReadmission checks which reports bring a run back that is presumed to have left.
 func TestReadmission(t *testing.T) {
 	const run = ident.Incarnation(100)
--- a/io/daemon/upstreams.go
+++ b/io/daemon/upstreams.go
@@ -74,8 +74,8 @@
 	return out
 }
 
-// handleLeave marks an upstream as leaving, which stops new work for it.
-// It returns once the departure is in the replicated log.
+// handleLeave marks a run of an upstream as leaving, which stops new work for it. It
+// returns once the departure is in the replicated log, also if the run is not known here.
 func (d *Daemon) handleLeave(ctx context.Context, l upstream.Leaving) (upstream.DaemonReply, error) {
 	reply, err := d.updateUpstream(ctx, l.Name, func(now time.Time) bool {
 		u, ok := d.ctl.members.Upstream(l.Name)
@@ -87,7 +87,7 @@
 		d.ctl.announceUpstream(now, u)
 		return true
 	})
-	if err != nil || !reply.Known {
+	if err != nil {
 		return reply, err
 	}
 	return reply, d.recordDeparture(ctx, func(now time.Time) state.Departure {
