--- a/core/coordination/membership/doc.go
+++ b/core/coordination/membership/doc.go
@@ -19,20 +19,14 @@
 // because a few records are always in flight. Each daemon thus sends 10 requests
 // a second, 5 in larger clusters, and a message holds at most 8 KiB of records.
 //
-// # Replication
-//
-// Gossip loses a record with the daemon that received it, until that daemon has
-// passed it on. What must not be lost is replicated first: the daemon sends the
-// record to all daemons with a disk, and to some others, and waits until a majority
-// of those with a disk have it. The rest hear by gossip.
-//
 // # Refresh and expiry
 //
 // A record expires at its deadline unless a later version arrives. Within the
 // process, deadlines follow the local clock; the wire carries the remaining
 // time, so clocks need not agree, and a forwarded copy outlives the original by
 // at most its time in flight. The record of a leaving upstream serves as its
-// own tombstone until it expires.
+// own tombstone until it expires; what must be known for longer is in the
+// replicated log.
 //
 // Urgent changes (a new incarnation, an address, residents, leaving, draining)
 // are spread at once. Changes of request counts only go out when the record is
--- a/core/coordination/membership/membership.go
+++ b/core/coordination/membership/membership.go
@@ -54,8 +54,6 @@
 	// differ from them in load only. They are published at the next refresh.
 	deferred map[ident.Upstream]Upstream
 	suspects map[ident.Daemon]*suspect
-	// replications are the unfinished ones, by token.
-	replications map[uint64]*replication
 	// superseded is true once a later process of the same name is known.
 	superseded bool
 	// predecessorUntil is when a greater incarnation under this name is no
@@ -92,8 +90,6 @@
 		deferred: map[ident.Upstream]Upstream{},
 		suspects: map[ident.Daemon]*suspect{},
 
-		replications: map[uint64]*replication{},
-
 		gossipAt: now.Add(time.Duration(c.Rand.Int64N(int64(gossipInterval)))),
 		repairAt: now,
 		expireAt: now,
@@ -121,15 +117,12 @@
 		m.handleRequest(now, ev)
 	case ResponseReceived:
 		m.handleResponse(now, ev.Response)
-		m.confirmReplication(ev.Token, ev.Response.From)
 	case CallFailed:
 		m.suspectDaemon(now, ev.Daemon)
 	case ProbeResult:
 		m.handleProbeResult(now, ev)
 	case Announce:
 		m.handleAnnouncement(now, ev.Upstream)
-	case Replicate:
-		m.replicate(now, ev)
 	case Seeds:
 		m.setSeeds(ev.Peers)
 	case LoadUpdate:
@@ -147,7 +140,6 @@
 func (m *Membership) emit(e Effect) { m.effects = append(m.effects, e) }
 
 func (m *Membership) tick(now time.Time) {
-	m.expireReplications(now)
 	if !now.Before(m.expireAt) {
 		m.expireAt = now.Add(expireInterval)
 		m.expire(now)
--- a/core/coordination/membership/membership_test.go
+++ b/core/coordination/membership/membership_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"slices"
 	"testing"
 	"time"
 
@@ -38,19 +37,12 @@
 	messages, bytes int
 	probes          int
 	superseded      map[string]bool
-	// disks is how many daemons, the first ones to start, have a disk.
-	disks int
-	// onReplicated is called when a replication at address ends well.
-	onReplicated func(address string)
 }
 
-func newTestCluster(n int) *testCluster { return newTestClusterWithDisks(n, 0, 3) }
-
-// newTestClusterWithDisks starts n daemons, the first disks of them with a disk.
-func newTestClusterWithDisks(n, disks int, seed uint64) *testCluster {
+func newTestCluster(n int) *testCluster {
 	c := &testCluster{
-		now: time.Unix(1_000_000, 0), rand: rand.New(rand.NewPCG(seed, 4)),
-		members: map[string]*Membership{}, superseded: map[string]bool{}, disks: disks,
+		now: time.Unix(1_000_000, 0), rand: rand.New(rand.NewPCG(3, 4)),
+		members: map[string]*Membership{}, superseded: map[string]bool{},
 	}
 	for i := range n {
 		c.start(fmt.Sprintf("d%03d", i), fmt.Sprintf("127.0.0.1:%d", 1000+i))
@@ -63,13 +55,9 @@
 }
 
 func (c *testCluster) startAs(name, address string, inc ident.Incarnation) *Membership {
-	disk := ""
-	if len(c.addresses) < c.disks || slices.Contains(c.addresses[:min(c.disks, len(c.addresses))], address) {
-		disk = "data"
-	}
 	m := New(c.now, Config{
 		Own: Daemon{
-			Name: ident.Daemon(name), Version: Version{Incarnation: inc}, Disk: disk,
+			Name: ident.Daemon(name), Version: Version{Incarnation: inc},
 			Peer: address, Caller: address, Operator: address, DataCentre: "glyfada",
 		},
 		Seeds: []string{"127.0.0.1:1000", "127.0.0.1:1001"},
@@ -99,17 +87,12 @@
 			c.step(address, ProbeResult{Daemon: eff.Daemon, OK: !c.dropped(address, eff.Address)})
 		case Superseded:
 			c.superseded[address] = true
-		case Replicated:
-			c.onReplicated(address)
 		}
 	}
 	return effects
 }
 
 func (c *testCluster) exchange(from string, s Send) {
-	if c.members[from] == nil {
-		return
-	}
 	c.messages++
 	c.bytes += requestBytes(s.Request)
 	if c.dropped(from, s.Address) {
@@ -122,7 +105,7 @@
 		if reply, ok := eff.(Reply); ok && !c.dropped(s.Address, from) {
 			c.messages++
 			c.bytes += responseBytes(reply.Response)
-			c.step(from, ResponseReceived{Response: reply.Response, Token: s.Token})
+			c.step(from, ResponseReceived{Response: reply.Response})
 		}
 	}
 }
--- a/core/coordination/membership/message.go
+++ b/core/coordination/membership/message.go
@@ -69,12 +69,8 @@
 	Request Request
 }
 
-// ResponseReceived delivers the response to a request sent. Token is that of the
-// [Send].
-type ResponseReceived struct {
-	Response Response
-	Token    uint64
-}
+// ResponseReceived delivers the response to a request sent.
+type ResponseReceived struct{ Response Response }
 
 // CallFailed reports that a call of any kind to a daemon failed or passed its
 // deadline.
@@ -89,14 +85,6 @@
 // Announce delivers a record that an upstream announced to this daemon.
 type Announce struct{ Upstream Upstream }
 
-// Replicate asks for an upstream's record to be copied to other daemons. Once
-// enough of them have it, a [Replicated] with the same token, which is not 0,
-// follows, or else a [ReplicationFailed].
-type Replicate struct {
-	Token    uint64
-	Upstream ident.Upstream
-}
-
 // LoadUpdate updates the request counts in this daemon's record.
 type LoadUpdate struct{ Waiting, Running uint32 }
 
@@ -110,7 +98,6 @@
 func (CallFailed) event()       {}
 func (ProbeResult) event()      {}
 func (Announce) event()         {}
-func (Replicate) event()        {}
 func (LoadUpdate) event()       {}
 func (Drain) event()            {}
 
@@ -119,12 +106,11 @@
 type Effect interface{ effect() }
 
 // Send starts an exchange. To is empty for a configured seed whose daemon is
-// not known. Token is 0 unless the request belongs to a [Replicate].
+// not known.
 type Send struct {
 	To      ident.Daemon
 	Address string
 	Request Request
-	Token   uint64
 }
 
 // Reply answers a [RequestReceived].
@@ -140,13 +126,6 @@
 	Address string
 }
 
-// Replicated reports that the record of a [Replicate] outlives the loss of this
-// daemon.
-type Replicated struct{ Token uint64 }
-
-// ReplicationFailed reports that too few daemons confirmed a record in time.
-type ReplicationFailed struct{ Token uint64 }
-
 // Changed reports that records or suspicions have changed.
 type Changed struct{}
 
@@ -157,7 +136,5 @@
 func (Send) effect()               {}
 func (Reply) effect()              {}
 func (ProbeNewConnection) effect() {}
-func (Replicated) effect()         {}
-func (ReplicationFailed) effect()  {}
 func (Changed) effect()            {}
 func (Superseded) effect()         {}
--- a/io/daemon/departure_test.go
+++ b/io/daemon/departure_test.go
@@ -166,6 +166,28 @@
 	assert.Assert(t, takesWork(t, d, "e"))
 }
 
+// TestDepartureIsNotAcknowledgedAlone checks that a daemon that reaches no log
+// acknowledges no departure, and says so within a second.
+func TestDepartureIsNotAcknowledgedAlone(t *testing.T) {
+	d := newPlatformDaemon(t)
+	report := Announcement{Replica: "u", Incarnation: 7, Sequence: 1, Service: "s", Address: "127.0.0.1:1"}
+	assert.NilError(t, d.Platform().Announce(t.Context(), report))
+	draining := report
+	draining.Sequence, draining.Leaving = 2, true
+	for name, leave := range map[string]func() error{
+		"draining":              func() error { return d.Platform().Announce(t.Context(), draining) },
+		"deregistered":          func() error { return d.Platform().Leave(t.Context(), "u") },
+		"deregistered, unknown": func() error { return d.Platform().Leave(t.Context(), "other") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			start := time.Now()
+			assert.Equal(t, result.CodeOf(leave()), result.NotFresh)
+			assert.Assert(t, time.Since(start) < time.Second, "refused after %s", time.Since(start))
+		})
+	}
+	assert.Assert(t, !takesWork(t, d, "u"), "a replica that says that it leaves is left alone even so")
+}
+
 // TestReadmission checks which reports bring a run back that is presumed to have left.
 func TestReadmission(t *testing.T) {
 	const run = ident.Incarnation(100)
--- a/io/daemon/members.go
+++ b/io/daemon/members.go
@@ -63,7 +63,7 @@
 	c.send.gossip(e.Address, e.Request, func(now time.Time, resp membership.Response, err error) {
 		switch {
 		case err == nil:
-			c.stepMembers(now, membership.ResponseReceived{Response: resp, Token: e.Token})
+			c.stepMembers(now, membership.ResponseReceived{Response: resp})
 		case e.To != "":
 			c.stepMembers(now, membership.CallFailed{Daemon: e.To})
 		}
