--- a/io/daemon/departure.go
+++ b/io/daemon/departure.go
@@ -10,7 +10,7 @@
 	"papayaspoke/core/state"
 )
 
-// departureTimeout limits the commit of a departure. Upstreams wait for an
+// departureTimeout limits how long a departure may take. Upstreams wait for an
 // acknowledgement for a second.
 const departureTimeout = 800 * time.Millisecond
 
@@ -26,14 +26,16 @@
 )
 
 // recordDeparture runs f on the control loop and commits the departure that it
-// returns to the replicated log, unless the log has it already. An error means that
-// the departure must not be acknowledged.
+// returns to the replicated log, unless that is the zero departure or the log has it
+// already. An error means that the departure must not be acknowledged.
 func (d *Daemon) recordDeparture(ctx context.Context, f func(now time.Time) state.Departure) error {
+	deadline := d.clock().Add(departureTimeout)
 	var departure state.Departure
 	var recorded, readable bool
 	err := d.ctl.call(ctx, func(now time.Time) {
 		departure = f(now)
-		recorded = departure.Upstream == "" || d.ctl.view.HasLeft(departure.Upstream, departure.Last())
+		old := d.ctl.view.Departure(departure.Upstream)
+		recorded = old.Incarnation >= departure.Incarnation && old.Presumed >= departure.Presumed
 		readable = d.ctl.departuresReadable()
 	})
 	switch {
@@ -44,7 +46,7 @@
 	case !readable:
 		return result.New(result.NotFresh, "departure of %q: daemons of an earlier version can't read it", departure.Upstream)
 	}
-	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	a, err := d.proposer.propose(ctx, state.Depart(departure))
 	if err != nil {
--- a/io/daemon/dump.go
+++ b/io/daemon/dump.go
@@ -26,6 +26,7 @@
 	Version     uint64              `json:"version"`
 	Adapters    int                 `json:"adapters"`
 	Ledger      int                 `json:"ledger"`
+	Departures  int                 `json:"departures"`
 	Waiting     int                 `json:"waiting"`
 	Requests    int                 `json:"requests"`
 	Calls       int                 `json:"calls"`
@@ -141,6 +142,7 @@
 	out.Applied, out.Visible, out.Standing = c.witness.Applied(), c.witness.Visible(), c.witness.Active()
 	out.FreshFor = max(0, c.witness.FreshUntil().Sub(now)).Round(time.Millisecond).String()
 	out.Version, out.Adapters, out.Ledger = v.Version(), v.CountAdapters(), v.CountEntries()
+	out.Departures = v.CountDepartures()
 	out.Waiting, out.Requests, out.Fallback = c.dispatcher.Waiting(), c.dispatcher.Len(), c.permits.lost
 	for _, r := range c.dispatcher.Records(now) {
 		rd := replicaDump{Upstream: string(r.Upstream), Closed: r.Closed, Outstanding: r.Outstanding}
