--- a/io/daemon/departure_test.go
+++ b/io/daemon/departure_test.go
@@ -188,6 +188,20 @@
 	assert.Assert(t, !takesWork(t, d, "u"), "a replica that says that it leaves is left alone even so")
 }
 
+// TestDrainingIsMoreThanPresumed guards against an acknowledgement of a replica's own
+// departure that rests on a presumption, which a readmission may take back.
+func TestDrainingIsMoreThanPresumed(t *testing.T) {
+	d := newPlatformDaemon(t)
+	draining := Announcement{Replica: "u", Incarnation: 7, Sequence: 2, Service: "s", Address: "127.0.0.1:1", Leaving: true}
+	deliver(t, d, 1, state.Depart{Upstream: "u", Presumed: 9, At: time.Now()})
+	time.Sleep(4 * tickInterval)
+	assert.Equal(t, result.CodeOf(d.Platform().Announce(t.Context(), draining)), result.NotFresh)
+	deliver(t, d, 2, state.Depart{Upstream: "u", Incarnation: 7, At: time.Now()})
+	time.Sleep(4 * tickInterval)
+	draining.Sequence++
+	assert.NilError(t, d.Platform().Announce(t.Context(), draining))
+}
+
 // TestReadmission checks which reports bring a run back that is presumed to have left.
 func TestReadmission(t *testing.T) {
 	const run = ident.Incarnation(100)
