--- a/core/state/departure.go
+++ b/core/state/departure.go
@@ -19,9 +19,11 @@
 	// Incarnation is the latest run that is known to have left, 0 if none is. Earlier
 	// ones have left as well.
 	Incarnation ident.Incarnation
-	// Presumed is the latest run that may have been meant when the upstream was
-	// deregistered by its name, 0 if it was not. A [Readmit] may lower it.
-	Presumed ident.Incarnation
+	// Presumed is the latest run that was known when the upstream was deregistered by
+	// its name, and Unseen the latest one that may have started by then although no
+	// report had arrived. Both are 0 if there was no such deregistration. A [Readmit]
+	// may lower them.
+	Presumed, Unseen ident.Incarnation
 	// At is the wall time of the departure. An [Expire] deletes the record.
 	At time.Time
 }
@@ -63,7 +65,7 @@
 }
 
 // Last returns the latest run that has left or is presumed to have left.
-func (d Departure) Last() ident.Incarnation { return max(d.Incarnation, d.Presumed) }
+func (d Departure) Last() ident.Incarnation { return max(d.Incarnation, d.Presumed, d.Unseen) }
 
 // CountDepartures returns the number of departures that are kept.
 func (v *View) CountDepartures() int { return v.departures.Len() }
@@ -82,7 +84,7 @@
 	d := Departure(c)
 	if old, ok := v.departures.Get(c.Upstream); ok {
 		d.Incarnation = max(d.Incarnation, old.Incarnation)
-		d.Presumed = max(d.Presumed, old.Presumed)
+		d.Presumed, d.Unseen = max(d.Presumed, old.Presumed), max(d.Unseen, old.Unseen)
 		if old.At.After(d.At) {
 			d.At = old.At
 		}
@@ -98,10 +100,11 @@
 func (c Readmit) apply(s *State) Outcome {
 	v := &s.view
 	d, ok := v.departures.Get(c.Upstream)
-	if !ok || c.Incarnation <= d.Incarnation || c.Incarnation > d.Presumed {
+	if !ok || c.Incarnation <= d.Incarnation {
 		return Outcome{}
 	}
-	if d.Presumed = c.Incarnation - 1; d.Last() == 0 {
+	d.Presumed, d.Unseen = min(d.Presumed, c.Incarnation-1), min(d.Unseen, c.Incarnation-1)
+	if d.Last() == 0 {
 		v.deleteDeparture(c.Upstream)
 		return Outcome{}
 	}
--- a/core/state/departure_test.go
+++ b/core/state/departure_test.go
@@ -20,6 +20,7 @@
 	presume := func(i ident.Incarnation) state.Command {
 		return state.Depart{Upstream: "u", Presumed: i, At: noon}
 	}
+	unseen := func(i ident.Incarnation) state.Command { return state.Depart{Upstream: "u", Unseen: i, At: noon} }
 	readmit := func(i ident.Incarnation) state.Command { return state.Readmit{Upstream: "u", Incarnation: i} }
 	cases := map[string]struct {
 		commands []state.Command
@@ -40,6 +41,9 @@
 		"presumed":       {[]state.Command{presume(5)}, result.OK, 5},
 		"presumed later": {[]state.Command{depart(5, noon), presume(8)}, result.OK, 8},
 		"known later":    {[]state.Command{presume(5), depart(8, noon)}, result.OK, 8},
+		"unseen":         {[]state.Command{presume(5), unseen(7), presume(6)}, result.OK, 7},
+		"unseen, back":   {[]state.Command{presume(5), unseen(7), readmit(6)}, result.OK, 5},
+		"all back":       {[]state.Command{presume(5), unseen(7), readmit(3)}, result.OK, 2},
 		"readmitted":     {[]state.Command{presume(8), readmit(6)}, result.OK, 5},
 		"readmitted all": {[]state.Command{presume(8), readmit(1)}, result.OK, 0},
 		"not readmitted": {[]state.Command{depart(5, noon), presume(8), readmit(5)}, result.OK, 8},
--- a/io/daemon/departure.go
+++ b/io/daemon/departure.go
@@ -15,14 +15,14 @@
 const departureTimeout = 800 * time.Millisecond
 
 const (
-	// maxClockDifference is how far the clock of a replica that no daemon knows may
-	// be ahead of this daemon's.
-	maxClockDifference = time.Second
-	// A run that is presumed to have left is readmitted if it reports as ready for
-	// at least readmitAfter, with as many as readmitReports reports. Reports from
-	// before a departure arrive seconds late.
-	readmitAfter   = 30 * time.Second
-	readmitReports = 10
+	// maxClockDifference is how far the clock of a replica that this daemon does not
+	// know may be ahead of its own.
+	maxClockDifference = 250 * time.Millisecond
+	// Reports from before a departure arrive seconds late. A run that did not leave
+	// goes on reporting for at least these times, and as often as readmitReports.
+	readmitPresumed = 30 * time.Second
+	readmitUnseen   = 10 * time.Second
+	readmitReports  = 4
 )
 
 // recordDeparture runs f on the control loop and commits the departure that it
@@ -35,7 +35,7 @@
 	err := d.ctl.call(ctx, func(now time.Time) {
 		departure = f(now)
 		old := d.ctl.view.Departure(departure.Upstream)
-		recorded = old.Incarnation >= departure.Incarnation && old.Presumed >= departure.Presumed
+		recorded = old.Incarnation >= departure.Incarnation && old.Presumed >= departure.Presumed && old.Unseen >= departure.Unseen
 		readable = d.ctl.departuresReadable()
 	})
 	switch {
@@ -59,15 +59,15 @@
 }
 
 // deregistered returns the departure of a replica that is deregistered by its name
-// alone. Any run that has started until now may be meant: the first report of the
-// latest one may still be on its way to this daemon.
+// alone. It is that of the run that this daemon knows. If it knows none, or one that
+// has left already, any run that has started until now may be meant: its first report
+// may still be on its way.
 func (c *control) deregistered(now time.Time, name ident.Upstream) state.Departure {
-	u, known := c.members.Upstream(name)
-	last := latestWall(now.Round(0), c.startedAt.Round(0).Add(now.Sub(c.startedAt)))
-	if !known {
-		last = last.Add(maxClockDifference)
+	if u, ok := c.upstream(name); ok && !c.view.HasLeft(name, u.Version.Incarnation) {
+		return state.Departure{Upstream: name, Presumed: u.Version.Incarnation, At: now.Round(0)}
 	}
-	return state.Departure{Upstream: name, Presumed: max(u.Version.Incarnation, startedAt(last)), At: now.Round(0)}
+	last := latestWall(now.Round(0), c.startedAt.Round(0).Add(now.Sub(c.startedAt)))
+	return state.Departure{Upstream: name, Unseen: startedAt(last.Add(maxClockDifference)), At: now.Round(0)}
 }
 
 // startedAt returns the incarnation of a replica's run that starts at t.
@@ -82,7 +82,7 @@
 	return wall
 }
 
-// doubtedRun is a run of a replica that is presumed to have left and yet reports.
+// doubtedRun is a run of a replica that a deregistration covers and that yet reports.
 type doubtedRun struct {
 	incarnation ident.Incarnation
 	// sequence is that of its first report since.
@@ -91,18 +91,22 @@
 	readmitAt time.Time
 }
 
-// reconsiderDeparture readmits a run that goes on reporting as ready although it is
-// presumed to have left: its clock is behind, or a deregistration of an earlier run
-// arrived late.
+// reconsiderDeparture readmits a run that goes on reporting as ready although a
+// deregistration covers it: its clock is behind, or the deregistration was that of an
+// earlier run and arrived late.
 func (c *control) reconsiderDeparture(now time.Time, a Announcement) {
 	d := c.view.Departure(a.Replica)
-	if a.Incarnation <= d.Incarnation || a.Incarnation > d.Presumed {
+	if a.Incarnation <= d.Incarnation || a.Incarnation > d.Last() {
 		delete(c.doubtedRuns, a.Replica)
 		return
 	}
 	r, ok := c.doubtedRuns[a.Replica]
 	if !ok || r.incarnation != a.Incarnation || a.Sequence < r.sequence {
-		c.doubtedRuns[a.Replica] = doubtedRun{incarnation: a.Incarnation, sequence: a.Sequence, readmitAt: now.Add(readmitAfter)}
+		wait := readmitUnseen
+		if a.Incarnation <= d.Presumed {
+			wait = readmitPresumed
+		}
+		c.doubtedRuns[a.Replica] = doubtedRun{incarnation: a.Incarnation, sequence: a.Sequence, readmitAt: now.Add(wait)}
 		return
 	}
 	if now.Before(r.readmitAt) || a.Sequence-r.sequence < readmitReports {
--- a/io/daemon/witness.go
+++ b/io/daemon/witness.go
@@ -101,7 +101,7 @@
 func (c *control) noteRoutingChange(cmd state.Command) {
 	switch cmd := cmd.(type) {
 	case state.Depart:
-		c.log.Info("departure in force", "upstream", cmd.Upstream, "incarnation", uint64(cmd.Incarnation), "presumed", uint64(cmd.Presumed))
+		c.log.Info("departure in force", "upstream", cmd.Upstream, "incarnation", uint64(cmd.Incarnation), "presumed", uint64(cmd.Presumed), "unseen", uint64(cmd.Unseen))
 		c.membersDirty = true
 	case state.Assign, state.Revoke, state.Yield, state.Release, state.Readmit:
 		c.membersDirty = true
--- a/io/protocol/peer/stateplatform.go
+++ b/io/protocol/peer/stateplatform.go
@@ -85,13 +85,14 @@
 
 func departureToWire(d state.Departure) *peerpb.Departure {
 	return &peerpb.Departure{
-		Upstream: string(d.Upstream), Incarnation: uint64(d.Incarnation), Presumed: uint64(d.Presumed), At: timeToWire(d.At),
+		Upstream: string(d.Upstream), Incarnation: uint64(d.Incarnation), Presumed: uint64(d.Presumed), Unseen: uint64(d.Unseen),
+		At: timeToWire(d.At),
 	}
 }
 
 func departureFromWire(p *peerpb.Departure) state.Departure {
 	return state.Departure{
 		Upstream: ident.Upstream(p.GetUpstream()), Incarnation: ident.Incarnation(p.GetIncarnation()),
-		Presumed: ident.Incarnation(p.GetPresumed()), At: timeFromWire(p.GetAt()),
+		Presumed: ident.Incarnation(p.GetPresumed()), Unseen: ident.Incarnation(p.GetUnseen()), At: timeFromWire(p.GetAt()),
 	}
 }
