--- a/core/state/departure.go
+++ b/core/state/departure.go
@@ -93,6 +93,9 @@
 	if v.departures.Len() > MaxDepartures {
 		oldest, _, _ := v.departuresByAge.Min()
 		v.deleteDeparture(oldest.upstream)
+		if oldest.upstream == c.Upstream {
+			return errorOutcome(result.New(result.ChangeRefused, "departure of %q is older than %d others", c.Upstream, MaxDepartures))
+		}
 	}
 	return Outcome{}
 }
--- a/core/state/departure_test.go
+++ b/core/state/departure_test.go
@@ -86,4 +86,6 @@
 	next, ok := v.NextExpiry()
 	assert.Assert(t, ok)
 	assert.Equal(t, next, noon.Add(10))
+	old := state.Depart{Upstream: "old", Incarnation: 1, At: noon}
+	assert.Equal(t, s.Apply(s.Index()+1, old).Code, result.ChangeRefused, "dropped at once and not refused")
 }
