--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -98,7 +98,7 @@
 
 	// startedAt is when this process started.
 	startedAt time.Time
-	// doubtedRuns are the runs of known upstreams that may be readmitted.
+	// doubtedRuns are the runs of deregistered replicas that may yet be used.
 	doubtedRuns map[ident.Upstream]doubtedRun
 
 	// nextWitnessAt is when the next witness may be proposed, and
--- a/io/daemon/departure.go
+++ b/io/daemon/departure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"papayaspoke/core/coordination/membership"
@@ -82,7 +83,8 @@
 	return wall
 }
 
-// doubtedRun is a run of a replica that a deregistration covers and that yet reports.
+// doubtedRun is a run of a replica that was deregistered by its name. Its reports may
+// be from before.
 type doubtedRun struct {
 	incarnation ident.Incarnation
 	// sequence is that of its first report since.
@@ -91,13 +93,31 @@
 	readmitAt time.Time
 }
 
+// mayBeLate reports whether an announcement is to be ignored: after a deregistration of
+// a replica that nobody knew, it may be from before although it tells a later start,
+// since clocks differ. The next one of the same run counts.
+func (c *control) mayBeLate(now time.Time, a Announcement) bool {
+	d := c.view.Departure(a.Replica)
+	if d.Unseen == 0 || a.Incarnation <= d.Last() || now.Round(0).After(d.At.Add(readmitPresumed)) {
+		return false
+	}
+	if u, ok := c.members.Upstream(a.Replica); ok && u.Version.Incarnation == a.Incarnation {
+		return false
+	}
+	r, ok := c.doubtedRuns[a.Replica]
+	if ok && r.incarnation == a.Incarnation && a.Sequence > r.sequence {
+		return false
+	}
+	c.doubt(now, a, 0)
+	return true
+}
+
 // reconsiderDeparture readmits a run that goes on reporting as ready although a
 // deregistration covers it: its clock is behind, or the deregistration was that of an
 // earlier run and arrived late.
 func (c *control) reconsiderDeparture(now time.Time, a Announcement) {
 	d := c.view.Departure(a.Replica)
 	if a.Incarnation <= d.Incarnation || a.Incarnation > d.Last() {
-		delete(c.doubtedRuns, a.Replica)
 		return
 	}
 	r, ok := c.doubtedRuns[a.Replica]
@@ -106,7 +126,7 @@
 		if a.Incarnation <= d.Presumed {
 			wait = readmitPresumed
 		}
-		c.doubtedRuns[a.Replica] = doubtedRun{incarnation: a.Incarnation, sequence: a.Sequence, readmitAt: now.Add(wait)}
+		c.doubt(now, a, wait)
 		return
 	}
 	if now.Before(r.readmitAt) || a.Sequence-r.sequence < readmitReports {
@@ -117,6 +137,13 @@
 	c.async.commit(state.Readmit{Upstream: a.Replica, Incarnation: a.Incarnation})
 }
 
+// doubt remembers the first report of a run that may not be readmitted before wait is
+// over, and forgets runs that have not gone on.
+func (c *control) doubt(now time.Time, a Announcement, wait time.Duration) {
+	maps.DeleteFunc(c.doubtedRuns, func(_ ident.Upstream, r doubtedRun) bool { return now.After(r.readmitAt.Add(readmitPresumed)) })
+	c.doubtedRuns[a.Replica] = doubtedRun{incarnation: a.Incarnation, sequence: a.Sequence, readmitAt: now.Add(wait)}
+}
+
 // discoveryTime is how long a daemon that has just started may not know others: a few
 // rounds of gossip.
 const discoveryTime = time.Second
--- a/io/daemon/members.go
+++ b/io/daemon/members.go
@@ -164,7 +164,6 @@
 	for name := range removed {
 		c.services.Remove(name)
 		c.directory.Remove(name)
-		delete(c.doubtedRuns, name)
 	}
 	c.replicasChanged(now)
 }
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -271,6 +271,9 @@
 // known record is ignored; that is not an error of the replica.
 func (c *control) announcementReceived(now time.Time, a Announcement) {
 	if !a.Leaving {
+		if c.mayBeLate(now, a) {
+			return
+		}
 		c.reconsiderDeparture(now, a)
 	}
 	u := membership.Upstream{
