--- a/cmd/testgate/main.go
+++ b/cmd/testgate/main.go
@@ -1,6 +1,7 @@
 // Command testgate reads the JSON output of go test on standard input and
 // exits with status 0 if the tests pass. Tests that KNOWN-RED.txt lists may
-// fail; they are printed. Any other failing test, a package that fails or does
+// fail; they are printed. A listed subtest may fail its test, as long as no other
+// subtest fails. Any other failing test, a package that fails or does
 // not build, or a run in which no test passed gives a status other than 0.
 package main
 
@@ -30,7 +31,7 @@
 		fmt.Fprintln(os.Stderr, "testgate:", err)
 		os.Exit(2)
 	}
-	g := gate{known: known, output: make(map[testKey][]string)}
+	g := newGate(known)
 	sc := bufio.NewScanner(os.Stdin)
 	sc.Buffer(make([]byte, 0, 1<<20), 1<<24)
 	for sc.Scan() {
@@ -48,12 +49,23 @@
 	output                  map[testKey][]string
 	passed, failed, skipped int
 	knownFailed             []string
+	// failedBelow and knownBelow count the failed subtests of a test, by its
+	// "package.Test" name, and those of them that are listed.
+	failedBelow, knownBelow map[string]int
 	brokenPackages          map[string]bool
 	failedTests             map[string]int
 }
 
 // readKnown returns the "package.Test" names in a file; each is the first word of
 // a line that starts with "test: ".
+func newGate(known map[string]bool) *gate {
+	return &gate{
+		known: known, output: make(map[testKey][]string),
+		failedTests: make(map[string]int), brokenPackages: make(map[string]bool),
+		failedBelow: make(map[string]int), knownBelow: make(map[string]int),
+	}
+}
+
 func readKnown(path string) (map[string]bool, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -99,10 +111,6 @@
 // addFailure records that a test or a package failed. A package that fails
 // although none of its tests did has not been built or ended early.
 func (g *gate) addFailure(e event, k testKey) {
-	if g.failedTests == nil {
-		g.failedTests = make(map[string]int)
-		g.brokenPackages = make(map[string]bool)
-	}
 	if e.Test == "" {
 		if g.failedTests[e.Package] == 0 {
 			g.brokenPackages[e.Package] = true
@@ -111,9 +119,18 @@
 		return
 	}
 	g.failedTests[e.Package]++
-	name := e.Package + "." + e.Test
-	root, _, _ := strings.Cut(e.Test, "/")
-	if g.known[name] || g.known[e.Package+"."+root] {
+	test, _, isSubtest := strings.Cut(e.Test, "/")
+	name, parent := e.Package+"."+e.Test, e.Package+"."+test
+	known := g.known[name] || g.known[parent]
+	if isSubtest {
+		g.failedBelow[parent]++
+		if known {
+			g.knownBelow[parent]++
+		}
+	} else if n := g.failedBelow[parent]; n > 0 && n == g.knownBelow[parent] {
+		known = true
+	}
+	if known {
 		g.knownFailed = append(g.knownFailed, name)
 		return
 	}
